--- /dev/null
+++ b/wigeongate-config/src/entry.rs
@@ -0,0 +1,101 @@
+//! The settings of one gate on an entry host.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use wigeongate_core::ids::{GateId, ZoneId};
+
+use crate::check::Check;
+use crate::problem::{Path, Problems};
+
+/// The settings of one gate on an entry host.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Its name, the same after a restart.
+    pub gate: GateId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it tells whether it takes new connections.
+    pub ready: SocketAddr,
+    /// Where it listens for the other gates.
+    pub peer: SocketAddr,
+    /// Where its metrics are read.
+    pub metrics: SocketAddr,
+    /// The address of the store.
+    pub store: SocketAddr,
+    /// The address of the advice service; empty where no queue needs it.
+    pub advice: String,
+    /// Bounds of time that the operators set.
+    pub bounds: EntryBounds,
+}
+
+/// Bounds of time that the operators set.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryBounds {
+    /// The longest lease of what runs on an executor, in milliseconds.
+    pub task_lease_ms: u64,
+    /// How long after its withdrawal a key may still work, in milliseconds.
+    pub revoke_ms: u64,
+    /// The time from SIGTERM to SIGKILL, in seconds.
+    pub grace_s: u64,
+    /// How long a job that has ended is still shown, in seconds.
+    pub shown_s: u64,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            gate: GateId::from("gate-1"),
+            zone: ZoneId::default(),
+            callers: local(8080),
+            ready: local(8081),
+            peer: local(8090),
+            metrics: local(8091),
+            store: local(8182),
+            advice: String::new(),
+            bounds: EntryBounds::default(),
+        }
+    }
+}
+
+impl Default for EntryBounds {
+    fn default() -> Self {
+        Self {
+            task_lease_ms: 6_000,
+            revoke_ms: 5_000,
+            grace_s: 6,
+            shown_s: 120,
+        }
+    }
+}
+
+impl Check for EntrySettings {
+    fn check(&self, problems: &mut Problems) {
+        if self.gate.as_str().is_empty() {
+            problems.add(Path::of("gate"), "no name", "the name of this gate");
+        }
+        if !self.advice.is_empty() && self.advice.parse::<SocketAddr>().is_err() {
+            problems.add(
+                Path::of("advice"),
+                self.advice.clone(),
+                "ADDRESS:PORT or nothing",
+            );
+        }
+        let bounds = Path::of("bounds");
+        for (name, value) in [
+            ("task_lease_ms", self.bounds.task_lease_ms),
+            ("revoke_ms", self.bounds.revoke_ms),
+            ("grace_s", self.bounds.grace_s),
+            ("shown_s", self.bounds.shown_s),
+        ] {
+            if value == 0 {
+                problems.add(bounds.join(name), "0", "a time above zero");
+            }
+        }
+    }
+}
--- a/wigeongate-config/src/lib.rs
+++ b/wigeongate-config/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod change;
 pub mod check;
 pub mod configuration;
+pub mod entry;
 mod form;
 pub mod inventory;
 pub mod key;
--- a/wigeongate-core/src/lib.rs
+++ b/wigeongate-core/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod scheduler;
 pub mod slices;
 pub mod time;
+pub mod workflow;
--- /dev/null
+++ b/wigeongate-core/src/workflow/director.rs
@@ -0,0 +1,465 @@
+//! The state of a deployment and the events that change it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use super::host::{Host, HostEntry, RunKey, Stage};
+use super::job::{Job, Phase, Shown, Step};
+use super::message::{Action, How, StopOrder};
+use super::restore::Record;
+use super::rules::{QueueRules, Rules};
+use super::spec::{StepId, TaskName, Workflow, WorkflowId};
+use crate::collections::HashMap;
+use crate::ids::{HostId, QueueId, TeamId};
+use crate::resources::Resources;
+use crate::time::Millis;
+
+/// How often a stop without effect is ordered again, in milliseconds: an order that is carried out
+/// late takes seconds, one that is lost must not keep room.
+const STOP_AGAIN_MS: u64 = 400;
+
+/// How long after an answered stop a look is asked for, in milliseconds: the end of a run that was
+/// there is listed sooner in most cases.
+const SETTLE_MS: u64 = 150;
+
+/// The settings of a director.
+#[derive(Debug, Clone)]
+pub struct DirectorSettings {
+    /// The number of this ownership, from 1; starts of inherited tasks are numbered above those
+    /// of all earlier owners.
+    pub epoch: u64,
+    /// The longest time that a task runs without a call to its executor, on this side's clock.
+    pub task_lease: Millis,
+    /// How long a job that ended is still shown.
+    pub shown_for: Millis,
+}
+
+impl Default for DirectorSettings {
+    fn default() -> Self {
+        Self {
+            epoch: 1,
+            task_lease: Millis(6_400),
+            shown_for: Millis::from_secs(150),
+        }
+    }
+}
+
+/// How many starts of one task an owner may number.
+const RUNS_AN_EPOCH: u32 = 1_000;
+
+/// Ends that a host may forget once a record was written.
+#[derive(Debug)]
+pub(super) struct Forgotten {
+    pub(super) record: u64,
+    pub(super) host: HostId,
+    pub(super) born: u64,
+    pub(super) number: u64,
+}
+
+/// Decides what starts where on the fleet of a deployment.
+#[derive(Debug, Default)]
+pub struct Director {
+    pub(super) settings: DirectorSettings,
+    pub(super) rules: Arc<Rules>,
+    /// Rules of queues that the configuration has dropped; accepted jobs keep them.
+    pub(super) queues: HashMap<QueueId, QueueRules>,
+    pub(super) hosts: HashMap<HostId, Host>,
+    pub(super) jobs: HashMap<WorkflowId, Job>,
+    /// Steps with tasks that wait and may start.
+    pub(super) ready: BTreeSet<StepId>,
+    /// Room that each team takes.
+    pub(super) usage: HashMap<TeamId, Resources>,
+    /// Whether every host has answered or its task leases have run out.
+    pub(super) trusted: bool,
+    pub(super) taken: Millis,
+    /// The number of the newest record.
+    pub(super) records: u64,
+    /// The number of the newest record that was written.
+    pub(super) written: u64,
+    /// Ends to forget once the record with the number was written.
+    pub(super) forgets: Vec<Forgotten>,
+    /// Jobs that wait for the time of an occurrence.
+    pub(super) due: BTreeSet<(u64, StepId)>,
+    pub(super) wall: u64,
+    /// Hosts that advice called good and that it was asked about, for each queue.
+    pub(super) good_shares: HashMap<QueueId, (u32, u32)>,
+    /// Whether something changed that may let work start.
+    pub(super) dirty: bool,
+}
+
+impl Director {
+    /// Makes a director that took over at a time.
+    pub fn new(settings: DirectorSettings, now: Millis) -> Self {
+        Self {
+            settings,
+            taken: now,
+            ..Self::default()
+        }
+    }
+
+    /// Puts a version of the configuration in force.
+    pub fn configure(&mut self, rules: Arc<Rules>) {
+        for (queue, rule) in &rules.queues {
+            self.queues.insert(queue.clone(), rule.clone());
+        }
+        self.rules = rules;
+        self.dirty = true;
+    }
+
+    /// Takes in what the registry says of a host.
+    pub fn list(&mut self, entry: HostEntry, now: Millis) {
+        self.dirty = true;
+        if let Some(host) = self.hosts.get_mut(&entry.id) {
+            host.listed = true;
+            host.entry = entry;
+        } else {
+            let id = entry.id.clone();
+            self.hosts.insert(id, Host::new(entry, now));
+        }
+    }
+
+    /// Takes in that the registry no longer lists a host.
+    pub fn unlist(&mut self, id: &HostId) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.listed = false;
+        }
+    }
+
+    /// Takes in until when tasks of a host may run that did not answer a look.
+    pub fn prolong(&mut self, id: &HostId, lease: Millis) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.lease = host.lease.max(lease);
+        }
+    }
+
+    /// Returns whether a host is listed or holds runs.
+    pub fn knows(&self, id: &HostId) -> bool {
+        self.hosts.contains_key(id)
+    }
+
+    /// Returns the hosts that are listed or hold runs.
+    pub fn hosts(&self) -> impl Iterator<Item = (&HostEntry, bool)> {
+        self.hosts.values().map(|host| (&host.entry, host.listed))
+    }
+
+    /// Takes an accepted job; `age` is the time since its acceptance.
+    pub fn submit(&mut self, flow: Workflow, now: Millis, age: Millis) -> bool {
+        let id = flow.id;
+        if self.jobs.contains_key(&id) {
+            return false;
+        }
+        let rules = self.queues.get(&flow.queue).cloned().unwrap_or_default();
+        let job = Job::new(flow, &rules, now, age);
+        self.jobs.insert(id, job);
+        self.advance(id, now, &mut Vec::new());
+        true
+    }
+
+    /// Cancels a job; returns the number of the record to wait for, or `None` for a job that is
+    /// not known.
+    pub fn cancel(&mut self, id: WorkflowId, now: Millis, out: &mut Vec<Action>) -> Option<u64> {
+        let job = self.jobs.get(&id)?;
+        if job.end.is_none() {
+            self.end(id, Shown::Cancelled, now, out);
+        }
+        Some(self.jobs.get(&id)?.end_record)
+    }
+
+    /// Returns where a job stands, as far as it is written.
+    pub fn shown(&self, id: WorkflowId) -> Option<Shown> {
+        let job = self.jobs.get(&id)?;
+        Some(match job.end {
+            Some(shown) if job.end_record <= self.written => shown,
+            _ if job.started => Shown::Running,
+            _ => Shown::Queued,
+        })
+    }
+
+    /// Returns how many accepted jobs of a queue have not begun.
+    pub fn pending(&self, queue: &QueueId) -> usize {
+        let waits = |job: &&Job| !job.started && job.end.is_none() && job.flow.queue == *queue;
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Returns how many jobs have not ended.
+    pub fn open(&self) -> usize {
+        self.jobs.values().filter(|job| job.end.is_none()).count()
+    }
+
+    /// Takes in that every record up to a number was written.
+    pub fn written(&mut self, number: u64, out: &mut Vec<Action>) {
+        self.written = self.written.max(number);
+        let written = self.written;
+        self.forgets.retain(|forget| {
+            let ready = forget.record <= written;
+            if ready {
+                out.push(Action::Forget {
+                    host: forget.host.clone(),
+                    born: forget.born,
+                    number: forget.number,
+                });
+            }
+            !ready
+        });
+    }
+
+    /// Returns the number of the newest record.
+    pub const fn records(&self) -> u64 {
+        self.records
+    }
+
+    /// Returns whether every host is known or has no task of an earlier owner left.
+    pub const fn trusted(&self) -> bool {
+        self.trusted
+    }
+
+    /// Returns jobs that ended long enough ago to be forgotten.
+    pub fn expired(&mut self, now: Millis) -> Vec<WorkflowId> {
+        let shown_for = self.settings.shown_for;
+        let old = |job: &Job| job.end.is_some() && now.since(job.ended) > shown_for;
+        let ids: Vec<WorkflowId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| old(job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in &ids {
+            self.jobs.remove(id);
+        }
+        ids
+    }
+
+    /// Makes what is due by time alone; `wall` is the time of day in milliseconds since 1970.
+    pub fn tick(&mut self, now: Millis, wall: u64, out: &mut Vec<Action>) {
+        self.wall = wall;
+        self.begin_due(now);
+        self.expire_hosts(now, out);
+        self.press_stops(now, out);
+        self.forget_hosts();
+        self.trust(now);
+        self.dirty = true;
+    }
+
+    fn begin_due(&mut self, now: Millis) {
+        while let Some((due, step)) = self.due.first().copied()
+            && due <= self.wall
+        {
+            self.due.pop_first();
+            if let Some(state) = self
+                .jobs
+                .get_mut(&step.job)
+                .and_then(|job| Self::step_of(job, step))
+            {
+                state.ready = Some(now);
+                self.ready.insert(step);
+            }
+        }
+    }
+
+    /// Releases everything on hosts whose task leases have run out.
+    fn expire_hosts(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let dead: Vec<HostId> = self
+            .hosts
+            .values()
+            .filter(|host| host.known && host.lease < now)
+            .map(|host| host.entry.id.clone())
+            .collect();
+        for id in dead {
+            self.clear_host(&id, now, out);
+            if let Some(host) = self.hosts.get_mut(&id) {
+                host.known = false;
+            }
+        }
+    }
+
+    /// Ends every run of a host that runs nothing any longer.
+    pub(super) fn clear_host(&mut self, id: &HostId, now: Millis, out: &mut Vec<Action>) {
+        let Some(host) = self.hosts.get(id) else {
+            return;
+        };
+        let runs: Vec<RunKey> = host.claims.keys().copied().collect();
+        for run in runs {
+            self.finish(id, run, How::Lapsed, "", now, out);
+        }
+    }
+
+    fn press_stops(&mut self, now: Millis, out: &mut Vec<Action>) {
+        for (id, host) in &mut self.hosts {
+            for ((task, run), claim) in &mut host.claims {
+                let pressed = matches!(claim.stage, Stage::Doubt | Stage::Stopping);
+                if pressed && now.since(claim.ordered).0 >= STOP_AGAIN_MS {
+                    claim.ordered = now;
+                    out.push(Action::Stop(StopOrder {
+                        host: id.clone(),
+                        task: *task,
+                        run: *run,
+                    }));
+                }
+            }
+            let settles = |claim: &super::host::Claim| {
+                matches!(claim.stage, Stage::Doubt | Stage::Stopping)
+                    && claim
+                        .stopped
+                        .is_some_and(|stopped| now.since(stopped).0 >= SETTLE_MS)
+            };
+            if host.claims.values().any(settles) && now.since(host.looked).0 >= SETTLE_MS {
+                host.looked = now;
+                out.push(Action::Look { host: id.clone() });
+            }
+        }
+    }
+
+    fn forget_hosts(&mut self) {
+        self.hosts
+            .retain(|_, host| host.listed || host.known || !host.claims.is_empty());
+    }
+
+    fn trust(&mut self, now: Millis) {
+        if self.trusted {
+            return;
+        }
+        let waited = now.since(self.taken) >= self.settings.task_lease;
+        let known = !self.hosts.is_empty() && self.hosts.values().all(|host| host.known);
+        self.trusted = waited || known;
+    }
+
+    pub(super) fn record(&mut self, record: Record, out: &mut Vec<Action>) -> u64 {
+        self.records += 1;
+        out.push(Action::Record(record));
+        self.records
+    }
+
+    pub(super) fn step_of(job: &mut Job, at: StepId) -> Option<&mut Step> {
+        let occurrence = usize::try_from(at.occurrence).ok()?;
+        job.occurrences
+            .get_mut(occurrence)?
+            .steps
+            .get_mut(usize::from(at.step))
+    }
+
+    pub(super) fn step(&mut self, at: StepId) -> Option<&mut Step> {
+        self.jobs
+            .get_mut(&at.job)
+            .and_then(|job| Self::step_of(job, at))
+    }
+
+    /// Returns the number below all starts that this owner gives to the tasks of a job.
+    pub(super) fn first_run(&self, job: &Job) -> u32 {
+        if !job.inherited {
+            return 0;
+        }
+        let earlier = u32::try_from(self.settings.epoch.saturating_sub(1)).unwrap_or(u32::MAX);
+        earlier.saturating_mul(RUNS_AN_EPOCH)
+    }
+
+    /// Makes steps ready whose time has come and ends a job whose steps are all done.
+    pub(super) fn advance(&mut self, id: WorkflowId, now: Millis, out: &mut Vec<Action>) {
+        let wall = self.wall;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.end.is_some() {
+            return;
+        }
+        let mut done = true;
+        for (at, occurrence) in (0..).zip(&mut job.occurrences) {
+            done &= occurrence.is_done();
+            for step in 0..occurrence.steps.len() {
+                let ready = occurrence.is_ready(step);
+                let state = &mut occurrence.steps[step];
+                if !ready || state.ready.is_some() || state.left == 0 {
+                    continue;
+                }
+                let step = StepId {
+                    job: id,
+                    occurrence: at,
+                    step: u16::try_from(step).unwrap_or(u16::MAX),
+                };
+                if occurrence.due > wall {
+                    self.due.insert((occurrence.due, step));
+                } else {
+                    state.ready = Some(now);
+                    self.ready.insert(step);
+                }
+            }
+        }
+        self.dirty = true;
+        if done {
+            self.end(id, Shown::Completed, now, out);
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(super) fn end(&mut self, id: WorkflowId, shown: Shown, now: Millis, out: &mut Vec<Action>) {
+        let number = self.record(Record::Ended(id, shown), out);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.end = Some(shown);
+        job.end_record = number;
+        job.ended = now;
+        let runs = job.runs();
+        self.ready.retain(|step| step.job != id);
+        self.due.retain(|(_, step)| step.job != id);
+        for (host, run) in runs {
+            self.stop(&host, run, now, out);
+        }
+    }
+
+    /// Orders a stop of a run, once.
+    pub(super) fn stop(&mut self, id: &HostId, run: RunKey, now: Millis, out: &mut Vec<Action>) {
+        let Some(claim) = self
+            .hosts
+            .get_mut(id)
+            .and_then(|host| host.claims.get_mut(&run))
+        else {
+            return;
+        };
+        if matches!(claim.stage, Stage::Doubt | Stage::Stopping) {
+            return;
+        }
+        claim.stage = Stage::Stopping;
+        claim.ordered = now;
+        out.push(Action::Stop(StopOrder {
+            host: id.clone(),
+            task: run.0,
+            run: run.1,
+        }));
+    }
+
+    /// Returns a task's state.
+    pub(super) fn task(&mut self, name: TaskName) -> Option<&mut super::job::Task> {
+        let at = usize::try_from(name.index).ok()?;
+        self.step(name.step)?.tasks.get_mut(at)
+    }
+
+    /// Returns whether a job may not start anything yet.
+    pub(super) fn is_held(&self, job: &Job) -> bool {
+        job.end.is_some() || (job.inherited && !self.trusted)
+    }
+
+    /// Marks a task as waiting again, if nothing of it takes room.
+    pub(super) fn wait_again(&mut self, name: TaskName) {
+        let Some(job) = self.jobs.get_mut(&name.step.job) else {
+            return;
+        };
+        if job.end.is_some() {
+            return;
+        }
+        let Some(step) = Self::step_of(job, name.step) else {
+            return;
+        };
+        let Some(task) = usize::try_from(name.index)
+            .ok()
+            .and_then(|at| step.tasks.get_mut(at))
+        else {
+            return;
+        };
+        if task.phase == Phase::Placed && task.places.is_empty() {
+            task.phase = Phase::Waiting;
+            step.waiting += 1;
+            self.ready.insert(name.step);
+            self.dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/wigeongate-core/src/workflow/job.rs
@@ -0,0 +1,281 @@
+//! The state of accepted jobs.
+
+use std::sync::Arc;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::host::RunKey;
+use super::rules::QueueRules;
+use super::spec::{StepSpec, Workflow};
+use crate::collections::HashMap;
+use crate::ids::HostId;
+use crate::time::Millis;
+
+/// A job past this multiple of its objective is worth nothing more.
+const WORTHLESS_TIMES: f64 = 3.0;
+
+/// Where a job stands, as its caller is shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
+pub enum Shown {
+    /// No task has started.
+    #[display("queued")]
+    Queued,
+    /// A task has started and the job has not ended.
+    #[display("running")]
+    Running,
+    /// Every task did its work.
+    #[display("completed")]
+    Completed,
+    /// A task failed too often.
+    #[display("failed")]
+    Failed,
+    /// The caller cancelled it.
+    #[display("cancelled")]
+    Cancelled,
+}
+
+/// Where a task stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Phase {
+    /// It waits for a host.
+    Waiting,
+    /// It was ordered on a host.
+    Placed,
+    /// It did its work.
+    Done,
+}
+
+/// A task.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Where it stands.
+    pub phase: Phase,
+    /// The number of its newest start.
+    pub run: u32,
+    /// How many of its runs failed.
+    pub failures: u32,
+    /// The number of the newest run that failed; runs up to it have been counted.
+    pub failed_run: u32,
+    /// Its newest checkpoint; empty for none.
+    pub saved: Arc<str>,
+    /// The hosts on which runs of it take room.
+    pub places: Vec<(HostId, u32)>,
+    /// Where a run of it failed last.
+    pub failed_on: Option<HostId>,
+    /// When its newest run started.
+    pub placed_at: Millis,
+}
+
+/// What is known of the hosts that may run a step.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// Hosts that may, with their ticket and its end.
+    pub good: HashMap<HostId, (Arc<str>, Millis)>,
+    /// Hosts that were named and may not.
+    pub bad: HashMap<HostId, ()>,
+    /// When the question under way was asked.
+    pub asked: Option<Millis>,
+    /// No question is asked before this.
+    pub pause: Millis,
+}
+
+/// A step of an occurrence.
+#[derive(Debug)]
+pub struct Step {
+    /// What was asked for.
+    pub spec: StepSpec,
+    /// The tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that wait.
+    pub waiting: u32,
+    /// Tasks that have not ended well.
+    pub left: u32,
+    /// Failed runs of a gang.
+    pub failures: u32,
+    /// The number of the newest run of a gang that failed.
+    pub failed_run: u32,
+    /// Whether a stop of every member of a gang's newest run was ordered.
+    pub breaking: bool,
+    /// Which hosts may run it.
+    pub known: Known,
+    /// When it became ready to run.
+    pub ready: Option<Millis>,
+    /// No start is tried before this.
+    pub pause: Millis,
+}
+
+/// One time that the steps run.
+#[derive(Debug)]
+pub struct Occurrence {
+    /// When it is due, in milliseconds since 1970; zero for at once.
+    pub due: u64,
+    /// The steps.
+    pub steps: Vec<Step>,
+}
+
+/// An accepted job.
+#[derive(Debug)]
+pub struct Job {
+    /// The job.
+    pub flow: Workflow,
+    /// The occurrences that have begun or are next.
+    pub occurrences: Vec<Occurrence>,
+    /// How it ended.
+    pub end: Option<Shown>,
+    /// The number of the record of its end.
+    pub end_record: u64,
+    /// When it ended.
+    pub ended: Millis,
+    /// Whether a task has started.
+    pub started: bool,
+    /// Whether an earlier owner may have started tasks of it.
+    pub inherited: bool,
+    /// When the objective ends, on the director's clock.
+    pub objective: Millis,
+    /// The time from acceptance to the objective.
+    pub allowed: Millis,
+    /// When it arrived.
+    pub arrived: Millis,
+}
+
+impl Job {
+    /// Makes a job of which nothing has started.
+    pub fn new(flow: Workflow, rules: &QueueRules, now: Millis, age: Millis) -> Self {
+        #[expect(
+            clippy::cast_precision_loss,
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "times of a day in milliseconds are exact"
+        )]
+        let allowed = Millis((flow.spec.chain().0 as f64 * rules.stretch) as u64) + rules.target;
+        let occurrences = (0..flow.spec.occurrences())
+            .map(|at| Occurrence::new(&flow, at))
+            .collect();
+        Self {
+            occurrences,
+            end: None,
+            end_record: 0,
+            ended: Millis::ZERO,
+            started: false,
+            inherited: false,
+            objective: Millis((now + allowed).0.saturating_sub(age.0)),
+            allowed,
+            arrived: now,
+            flow,
+        }
+    }
+
+    /// Returns how late the job is: zero inside its objective, 1 past it, 2 when it is worth
+    /// nothing more.
+    pub fn lateness(&self, now: Millis, remaining: Millis) -> u32 {
+        let due = now + remaining;
+        if due <= self.objective {
+            return 0;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "times of a day are exact")]
+        let worthless =
+            (due.since(self.objective)).0 as f64 > self.allowed.0 as f64 * (WORTHLESS_TIMES - 1.0);
+        1 + u32::from(worthless)
+    }
+
+    /// Returns every run that takes room.
+    pub fn runs(&self) -> Vec<(HostId, RunKey)> {
+        let mut runs = Vec::new();
+        for (at, occurrence) in (0..).zip(&self.occurrences) {
+            for (step_at, step) in (0..).zip(&occurrence.steps) {
+                for (index, task) in (0..).zip(&step.tasks) {
+                    let name = super::TaskName {
+                        step: super::StepId {
+                            job: self.flow.id,
+                            occurrence: at,
+                            step: step_at,
+                        },
+                        index,
+                    };
+                    runs.extend(
+                        task.places
+                            .iter()
+                            .map(|(host, run)| (host.clone(), (name, *run))),
+                    );
+                }
+            }
+        }
+        runs
+    }
+}
+
+impl Occurrence {
+    fn new(flow: &Workflow, at: u32) -> Self {
+        let due = flow
+            .spec
+            .repeat
+            .map_or(0, |repeat| repeat.first + u64::from(at) * repeat.interval.0);
+        Self {
+            due,
+            steps: flow.spec.steps.iter().map(Step::new).collect(),
+        }
+    }
+
+    /// Returns whether every task did its work.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.left == 0)
+    }
+
+    /// Returns whether the steps before a step are done.
+    pub fn is_ready(&self, step: usize) -> bool {
+        self.steps[step].spec.after.iter().all(|at| {
+            self.steps
+                .get(usize::from(*at))
+                .is_none_or(|step| step.left == 0)
+        })
+    }
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Self {
+        let task = Task {
+            phase: Phase::Waiting,
+            run: 0,
+            failures: 0,
+            failed_run: 0,
+            saved: Arc::from(""),
+            places: Vec::new(),
+            failed_on: None,
+            placed_at: Millis::ZERO,
+        };
+        Self {
+            tasks: vec![task; usize::try_from(spec.count).unwrap_or_default()],
+            waiting: spec.count,
+            left: spec.count,
+            failures: 0,
+            failed_run: 0,
+            breaking: false,
+            known: Known::default(),
+            ready: None,
+            pause: Millis::ZERO,
+            spec: spec.clone(),
+        }
+    }
+
+    /// Makes a step of the same demand that has no tasks.
+    pub fn like(spec: &StepSpec, waiting: u32) -> Self {
+        Self {
+            waiting,
+            ..Self::new(&StepSpec {
+                count: 0,
+                ..spec.clone()
+            })
+        }
+    }
+
+    /// Returns the highest number of a start.
+    pub fn run(&self) -> u32 {
+        self.tasks.iter().map(|task| task.run).max().unwrap_or(0)
+    }
+
+    /// Returns how many runs take room.
+    pub fn placed(&self) -> usize {
+        self.tasks.iter().map(|task| task.places.len()).sum()
+    }
+}
--- /dev/null
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -0,0 +1,311 @@
+//! A pass over the steps that may start, most valuable first.
+
+use std::sync::Arc;
+
+use super::director::Director;
+use super::host::{Claim, Stage};
+use super::job::{Phase, Step};
+use super::message::{Action, StartOrder};
+use super::places::Need;
+use super::rules::QueueRules;
+use super::spec::{StepId, TaskName};
+use crate::collections::HashMap;
+use crate::ids::HostId;
+use crate::resources::Resources;
+use crate::time::Millis;
+
+/// How long room is kept for a gang that waits, in milliseconds; each pass renews it.
+const KEEP_MS: u64 = 400;
+
+/// The place of a step in a pass; the smallest goes first.
+type Order = (u32, u32, Millis, StepId);
+
+impl Director {
+    /// Starts what fits.
+    pub fn place(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if !self.dirty {
+            return;
+        }
+        self.dirty = false;
+        let room = self.largest_room(now);
+        let mut steps: Vec<Order> = self
+            .ready
+            .iter()
+            .filter_map(|step| self.order(*step, now, &room))
+            .collect();
+        steps.sort_unstable();
+        for (lateness, _, _, step) in steps {
+            self.place_step(step, lateness, now, out);
+        }
+    }
+
+    /// Returns the largest free amount of each resource on any host of each service.
+    fn largest_room(&self, now: Millis) -> HashMap<String, Resources> {
+        let mut rooms: HashMap<String, Resources> = HashMap::default();
+        for host in self.hosts.values().filter(|host| host.takes_work(now)) {
+            let free = host.entry.capacity.saturating_sub(&host.used);
+            match rooms.get_mut(&host.entry.service) {
+                Some(room) => *room = room.max(&free),
+                None => {
+                    rooms.insert(host.entry.service.clone(), free);
+                }
+            }
+        }
+        rooms
+    }
+
+    fn order(&self, at: StepId, now: Millis, room: &HashMap<String, Resources>) -> Option<Order> {
+        let job = self.jobs.get(&at.job)?;
+        if self.is_held(job) {
+            return None;
+        }
+        let rules = self.queues.get(&job.flow.queue)?;
+        let step = job
+            .occurrences
+            .get(usize::try_from(at.occurrence).ok()?)?
+            .steps
+            .get(usize::from(at.step))?;
+        if step.waiting == 0 || step.pause > now || step.breaking {
+            return None;
+        }
+        let unknown = step.spec.gang && rules.advice.is_some();
+        if !unknown && !step.spec.fills && !step.spec.size.fits_in(room.get(&rules.service)?) {
+            return None;
+        }
+        let lateness = job.lateness(now, step.spec.estimate);
+        Some((lateness, rules.priority, job.objective, at))
+    }
+
+    fn place_step(&mut self, at: StepId, lateness: u32, now: Millis, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&at.job) else {
+            return;
+        };
+        let queue = job.flow.queue.clone();
+        let Some(rules) = self.queues.get(&queue).cloned() else {
+            return;
+        };
+        let Some(step) = self.step(at) else { return };
+        if step.spec.gang {
+            if step.waiting < step.left {
+                self.break_gang(at, now, out);
+            } else {
+                self.place_gang(at, &rules, lateness, now, out);
+            }
+        } else {
+            self.place_tasks(at, &rules, now, out);
+        }
+    }
+
+    /// Runs a question about the step with what it needs; the step's knowledge is taken out
+    /// meanwhile.
+    fn with_need<T>(
+        &mut self,
+        at: StepId,
+        rules: &QueueRules,
+        now: Millis,
+        ask: impl FnOnce(&mut Self, &Need<'_>) -> T,
+    ) -> Option<T> {
+        let queue = self.jobs.get(&at.job)?.flow.queue.clone();
+        let step = self.step(at)?;
+        let known = std::mem::take(&mut step.known);
+        let shape = Step::like(&step.spec, step.waiting);
+        let need = Need {
+            known: rules.advice.map(|_| &known),
+            ..Need::of(at, &shape, &queue, rules, now)
+        };
+        let answer = ask(self, &need);
+        let step = self.step(at)?;
+        let asked = std::mem::take(&mut step.known);
+        step.known = known;
+        if asked.asked.is_some() {
+            step.known.asked = asked.asked;
+            step.known.pause = asked.pause;
+        }
+        Some(answer)
+    }
+
+    fn place_tasks(&mut self, at: StepId, rules: &QueueRules, now: Millis, out: &mut Vec<Action>) {
+        let waiting = self.waiting(at);
+        for (index, failed_on) in waiting {
+            if !self.within_limit(at, 1) {
+                return;
+            }
+            let host = self.with_need(at, rules, now, |director, need| {
+                director.best_host(need, failed_on.as_ref(), &[])
+            });
+            match host.flatten() {
+                Some(host) => self.start(TaskName { step: at, index }, &host, now, out),
+                None => break,
+            }
+        }
+        let left = self.step(at).map_or(0, |step| step.waiting);
+        if left > 0
+            && let Some(cost) = rules.advice
+        {
+            self.with_need(at, rules, now, |director, need| {
+                director.ask(need, cost, now, out);
+            });
+        }
+    }
+
+    fn waiting(&mut self, at: StepId) -> Vec<(u32, Option<HostId>)> {
+        let Some(step) = self.step(at) else {
+            return Vec::new();
+        };
+        (0..)
+            .zip(&step.tasks)
+            .filter(|(_, task)| task.phase == Phase::Waiting)
+            .map(|(index, task)| (index, task.failed_on.clone()))
+            .collect()
+    }
+
+    fn place_gang(
+        &mut self,
+        at: StepId,
+        rules: &QueueRules,
+        lateness: u32,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let count = self.step(at).map_or(0, |step| step.waiting);
+        if !self.within_limit(at, count) {
+            return;
+        }
+        let hosts = self
+            .with_need(at, rules, now, |director, need| director.gang_hosts(need))
+            .flatten();
+        if let Some(hosts) = hosts {
+            if let Some(step) = self.step(at) {
+                let run = step.run();
+                for task in &mut step.tasks {
+                    task.run = run;
+                }
+            }
+            for (index, host) in (0..).zip(hosts) {
+                self.start(TaskName { step: at, index }, &host, now, out);
+            }
+            self.unreserve(at);
+            return;
+        }
+        let cost = rules.advice;
+        self.with_need(at, rules, now, |director, need| {
+            if let Some(cost) = cost {
+                director.ask(need, cost, now, out);
+            }
+            // A late gang takes what is left over.
+            if lateness == 0 {
+                let hosts = match need.known {
+                    Some(known) => known.good.keys().cloned().collect(),
+                    None => director.hosts.keys().cloned().collect(),
+                };
+                director.keep(need, hosts, now + Millis(KEEP_MS));
+            }
+        });
+    }
+
+    fn unreserve(&mut self, at: StepId) {
+        for host in self.hosts.values_mut() {
+            host.reserved = host.reserved.filter(|reserved| reserved.step != at);
+        }
+    }
+
+    /// Stops what is left of a gang that is not whole.
+    fn break_gang(&mut self, at: StepId, now: Millis, out: &mut Vec<Action>) {
+        let Some(step) = self.step(at) else { return };
+        step.breaking = true;
+        let members: Vec<_> = (0..)
+            .zip(&step.tasks)
+            .flat_map(|(index, task)| {
+                let name = TaskName { step: at, index };
+                task.places
+                    .iter()
+                    .map(move |(host, run)| (host.clone(), (name, *run)))
+            })
+            .collect();
+        for (host, run) in &members {
+            self.stop(host, *run, now, out);
+        }
+        if members.is_empty() {
+            self.gang_again(at, now);
+        }
+    }
+
+    /// Returns whether a team may start so many more tasks of a step.
+    fn within_limit(&self, at: StepId, count: u32) -> bool {
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let Some(team) = &job.flow.team else {
+            return true;
+        };
+        let Some(maximum) = self.rules.teams.get(team).map(|team| team.maximum) else {
+            return true;
+        };
+        let size = usize::try_from(at.occurrence)
+            .ok()
+            .and_then(|occurrence| job.occurrences.get(occurrence))
+            .and_then(|occurrence| occurrence.steps.get(usize::from(at.step)))
+            .map(|step| step.spec.size)
+            .unwrap_or_default();
+        let usage = self.usage.get(team).copied().unwrap_or_default();
+        let wanted = size.times(u64::from(count));
+        // A gang above its team's limit could never start: it goes when nothing else runs.
+        (usage + wanted).fits_in(&maximum) || (usage.is_zero() && count > 1)
+    }
+
+    fn start(&mut self, name: TaskName, id: &HostId, now: Millis, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&name.step.job) else {
+            return;
+        };
+        let first = self.first_run(job);
+        let team = job.flow.team.clone();
+        let command: Arc<str> = Arc::from(job.flow.spec.command.as_str());
+        let Some(step) = self.step(name.step) else {
+            return;
+        };
+        let mut size = step.spec.size;
+        if step.spec.fills {
+            size.cpu = 0;
+        }
+        let ticket = step.known.good.get(id).map(|(ticket, _)| ticket.clone());
+        let Some(task) = usize::try_from(name.index)
+            .ok()
+            .and_then(|at| step.tasks.get_mut(at))
+        else {
+            return;
+        };
+        task.run = task.run.max(first) + 1;
+        let run = task.run;
+        task.phase = Phase::Placed;
+        task.places.push((id.clone(), run));
+        task.placed_at = now;
+        let checkpoint = task.saved.clone();
+        step.waiting -= 1;
+        if step.waiting == 0 {
+            self.ready.remove(&name.step);
+        }
+        if let Some(team) = team {
+            *self.usage.entry(team).or_default() += size;
+        }
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.claim(
+                (name, run),
+                Claim {
+                    size,
+                    stage: Stage::Ordered,
+                    ordered: now,
+                    stopped: None,
+                    since: now,
+                },
+            );
+        }
+        out.push(Action::Start(StartOrder {
+            host: id.clone(),
+            task: name,
+            run,
+            command,
+            checkpoint,
+            ticket,
+        }));
+    }
+}
--- /dev/null
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -0,0 +1,143 @@
+//! What is written to the log, and how a new owner takes it up again.
+
+use serde::{Deserialize, Serialize};
+
+use super::director::Director;
+use super::job::{Phase, Shown};
+use super::message::Action;
+use super::spec::{StepId, TaskName, Workflow, WorkflowId};
+use crate::time::Millis;
+
+/// Something that a new owner has to know.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Record {
+    /// A task did its work.
+    Done(TaskName),
+    /// Every task of a gang did its work.
+    GangDone(StepId),
+    /// A run of a task failed.
+    Failed(TaskName, Failure),
+    /// A run of a gang failed.
+    GangFailed(StepId, Failure),
+    /// A job ended.
+    Ended(WorkflowId, Shown),
+}
+
+/// The failed runs of a task or a gang.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// How many runs failed so far.
+    pub count: u32,
+    /// The number of the newest of them.
+    pub run: u32,
+}
+
+impl Record {
+    /// Returns the job that the record speaks of.
+    pub const fn job(&self) -> WorkflowId {
+        match self {
+            Self::Done(task) | Self::Failed(task, _) => task.step.job,
+            Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
+            Self::Ended(job, _) => *job,
+        }
+    }
+}
+
+impl Director {
+    /// Takes up a job that was accepted before this owner; `age` is the time since then.
+    pub fn restore(&mut self, flow: Workflow, now: Millis, age: Millis) {
+        let id = flow.id;
+        self.submit(flow, now, age);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.inherited = true;
+        }
+    }
+
+    /// Takes up a record of an earlier owner; its job must be known.
+    pub fn replay(&mut self, record: &Record, now: Millis) {
+        let id = record.job();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        match record {
+            Record::Ended(_, shown) => {
+                job.end = Some(*shown);
+                job.end_record = 0;
+                job.ended = now;
+                self.ready.retain(|step| step.job != id);
+            }
+            Record::Done(task) => {
+                job.started = true;
+                if let Some(step) = Self::step_of(job, task.step)
+                    && let Some(state) = usize::try_from(task.index)
+                        .ok()
+                        .and_then(|at| step.tasks.get_mut(at))
+                    && state.phase != Phase::Done
+                {
+                    state.phase = Phase::Done;
+                    step.left -= 1;
+                    step.waiting = step.waiting.saturating_sub(1);
+                }
+            }
+            Record::GangDone(at) => {
+                job.started = true;
+                if let Some(step) = Self::step_of(job, *at) {
+                    for task in &mut step.tasks {
+                        task.phase = Phase::Done;
+                    }
+                    step.left = 0;
+                    step.waiting = 0;
+                }
+            }
+            Record::Failed(task, failure) => {
+                job.started = true;
+                if let Some(step) = Self::step_of(job, task.step)
+                    && let Some(state) = usize::try_from(task.index)
+                        .ok()
+                        .and_then(|at| step.tasks.get_mut(at))
+                {
+                    state.failures = state.failures.max(failure.count);
+                    state.failed_run = state.failed_run.max(failure.run);
+                    state.run = state.run.max(failure.run);
+                }
+            }
+            Record::GangFailed(at, failure) => {
+                job.started = true;
+                if let Some(step) = Self::step_of(job, *at) {
+                    step.failures = step.failures.max(failure.count);
+                    step.failed_run = step.failed_run.max(failure.run);
+                }
+            }
+        }
+    }
+
+    /// Returns whether a task or gang of a job that has not ended has failed too often.
+    fn is_exhausted(&self, id: WorkflowId) -> bool {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
+            return false;
+        };
+        let attempts = self
+            .queues
+            .get(&job.flow.queue)
+            .map_or(1, |rules| rules.attempts.max(1));
+        job.occurrences
+            .iter()
+            .flat_map(|occurrence| &occurrence.steps)
+            .filter(|step| step.left > 0 && !step.spec.long_running)
+            .any(|step| {
+                step.failures >= attempts || step.tasks.iter().any(|task| task.failures >= attempts)
+            })
+    }
+
+    /// Ends the restoring: jobs whose tasks had all ended are completed, steps become ready.
+    pub fn restored(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
+        for id in ids {
+            if self.is_exhausted(id) {
+                self.end(id, Shown::Failed, now, actions);
+            } else {
+                self.advance(id, now, actions);
+            }
+        }
+    }
+}
--- a/wigeongate/src/cli.rs
+++ b/wigeongate/src/cli.rs
@@ -45,6 +45,13 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
+    /// Run one gate on an entry host of a platform.
+    #[bpaf(command)]
+    Serve {
+        /// The settings.
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Check files: inventory, rules, settings and jobs, the rules against the inventory.
     #[bpaf(command)]
     Check {
--- /dev/null
+++ b/wigeongate/src/entry/advice.rs
@@ -0,0 +1,33 @@
+//! Asks the advice service, one call at a time.
+
+use tokio::sync::Mutex;
+use wigeongate_core::ids::HostId;
+use wigeongate_core::workflow::StepId;
+use wigeongate_platform::advice::{self, AdviceError};
+
+use super::shared::Shared;
+
+/// Asks the advice service, one call at a time, as it serves each host.
+#[derive(Debug, Default)]
+pub struct Adviser(Mutex<()>);
+
+impl Adviser {
+    /// Returns the hosts that may run a step, with their tickets, and how long these are good, in
+    /// milliseconds.
+    pub async fn ask(
+        &self,
+        shared: &Shared,
+        step: StepId,
+        hosts: &[HostId],
+        cost_ms: u64,
+    ) -> Result<(Vec<(HostId, String)>, u64), AdviceError> {
+        let _turn = self.0.lock().await;
+        let begun = shared.now();
+        let answer = advice::ask(&shared.http, &shared.settings.advice, step, hosts, cost_ms).await;
+        let outcome = if answer.is_ok() { "answered" } else { "failed" };
+        shared
+            .meters
+            .time("advice_call", outcome, shared.now().since(begun));
+        answer
+    }
+}
--- /dev/null
+++ b/wigeongate/src/entry/launch.rs
@@ -0,0 +1,86 @@
+//! Starts and stops a gate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Result;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+use tracing::info;
+use wigeongate_config::entry::EntrySettings;
+
+use super::accept::Acceptor;
+use super::advice::Adviser;
+use super::callers::Callers;
+use super::shared::Shared;
+use super::{configuration, listen, ownership, peers, ready};
+
+/// How long a gate that shuts down still takes connections, in milliseconds: the balancer looks
+/// once a second and leaves it out after two misses.
+const LEAVE_MS: u64 = 2_600;
+
+/// Runs a gate until the token is cancelled.
+pub async fn run(settings: EntrySettings, stop: CancellationToken) -> Result<()> {
+    info!(gate = %settings.gate, zone = %settings.zone, callers = %settings.callers,
+        "gate: starting.");
+    let callers_socket = listen::bind(settings.callers).await?;
+    let ready_socket = listen::bind(settings.ready).await?;
+    let peer_socket = listen::bind(settings.peer).await?;
+    let metrics_socket = listen::bind(settings.metrics).await?;
+    let shared = Arc::new(Shared::new(settings));
+    let adviser = Arc::new(Adviser::default());
+    let released = Arc::new(Notify::new());
+    let closing = CancellationToken::new();
+
+    tokio::spawn(configuration::follow(Arc::clone(&shared)));
+    tokio::spawn(ownership::follow(
+        Arc::clone(&shared),
+        Arc::clone(&adviser),
+        Arc::clone(&released),
+    ));
+    tokio::spawn(peers::greet(Arc::clone(&shared)));
+    serve_inside(&shared, adviser, ready_socket, peer_socket, metrics_socket);
+    let callers = Callers::new(Arc::clone(&shared), Acceptor::start(Arc::clone(&shared)));
+    let serving = tokio::spawn(listen::serve(
+        callers_socket,
+        move |request| callers.clone().answer(request),
+        closing.clone(),
+    ));
+    stop.cancelled().await;
+    info!("gate: stopping.");
+    shared.begin_stop();
+    released.notify_one();
+    tokio::time::sleep(Duration::from_millis(LEAVE_MS)).await;
+    closing.cancel();
+    serving.await?;
+    info!("gate: stopped.");
+    Ok(())
+}
+
+fn serve_inside(
+    shared: &Arc<Shared>,
+    adviser: Arc<Adviser>,
+    ready_socket: tokio::net::TcpListener,
+    peer_socket: tokio::net::TcpListener,
+    metrics_socket: tokio::net::TcpListener,
+) {
+    let never = CancellationToken::new;
+    let state = Arc::clone(shared);
+    tokio::spawn(listen::serve(
+        ready_socket,
+        move |request| ready::answer(Arc::clone(&state), request),
+        never(),
+    ));
+    let state = Arc::clone(shared);
+    tokio::spawn(listen::serve(
+        metrics_socket,
+        move |request| ready::metrics(Arc::clone(&state), request),
+        never(),
+    ));
+    let state = Arc::clone(shared);
+    tokio::spawn(listen::serve(
+        peer_socket,
+        move |request| peers::answer(Arc::clone(&state), Arc::clone(&adviser), request),
+        never(),
+    ));
+}
--- /dev/null
+++ b/wigeongate/src/entry/owner.rs
@@ -0,0 +1,623 @@
+//! The owner: takes in what happens, asks the director, and carries out what it decides.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use eyre::Result;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+use tracing::{debug, info, warn};
+use wigeongate_core::collections::HashMap;
+use wigeongate_core::ids::{GateId, HostId};
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, Advice, Director, DirectorSettings, HostEntry, Look, Record, StartResult, StepId,
+    TaskName, Workflow, WorkflowId,
+};
+use wigeongate_platform::store::{Change, Committed, StoreError, Txn};
+
+use super::advice::Adviser;
+use super::callers::age;
+use super::hosts::HostLink;
+use super::peers::{self, PeerAnswer, PeerCall};
+use super::records::{Batch, JOBS, LOG, OWNER, batch_key, decode, encode, job_key};
+use super::registry;
+use super::shared::Shared;
+use crate::clock::wall;
+
+/// The time between ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// The shortest time between writes of the log, in milliseconds: every write is priced, and a
+/// short job's objective leaves some hundred milliseconds.
+const WRITE_EVERY_MS: u64 = 40;
+
+/// The time between looks at accepted jobs of which no gate has told, in milliseconds.
+const JOBS_EVERY_MS: u64 = 1_000;
+
+/// How long after its last greeting a gate is asked for advice, in milliseconds.
+const GATE_MS: u64 = 2_500;
+
+/// What an issued ticket is shortened by for its way here, in milliseconds.
+const TICKET_WAY_MS: u64 = 30;
+
+/// The most records in one write.
+const MOST_RECORDS: usize = 5_000;
+
+/// The pause before a failed write is tried again, in milliseconds.
+const WRITE_AGAIN_MS: u64 = 100;
+
+/// Something that the owner takes in.
+#[derive(Debug)]
+pub enum Input {
+    /// A call of a gate, with the way to answer it.
+    Call(PeerCall, oneshot::Sender<PeerAnswer>),
+    /// The configuration changed.
+    Configure,
+    /// The executors that are listed, with their addresses.
+    Hosts(Vec<(HostEntry, String)>),
+    /// An executor's answer to a look.
+    Look(HostId, Look),
+    /// A look had no answer; until when what runs there may go on.
+    Unanswered(HostId, Millis),
+    /// What became of an order to start.
+    Start(HostId, (TaskName, u32), StartResult),
+    /// A stop was answered at a time.
+    Stopped(HostId, (TaskName, u32), Millis),
+    /// A question about these hosts was answered, or not.
+    Advised(StepId, Vec<HostId>, Option<Advice>),
+    /// Accepted jobs were found in the store.
+    Jobs(Vec<Workflow>),
+    /// The log was written up to a record.
+    Written(u64),
+    /// Another owner has taken over.
+    Fenced,
+}
+
+/// The way to the owner in this process.
+#[derive(Debug, Clone)]
+pub struct OwnerHandle(mpsc::UnboundedSender<Input>);
+
+impl OwnerHandle {
+    /// Makes a call and waits for the answer.
+    pub async fn call(&self, call: PeerCall) -> PeerAnswer {
+        let (answer, answered) = oneshot::channel();
+        if self.0.send(Input::Call(call, answer)).is_err() {
+            return PeerAnswer::NotOwner;
+        }
+        answered.await.unwrap_or(PeerAnswer::NotOwner)
+    }
+
+    /// Tells the owner that the configuration changed.
+    pub fn configure(&self) {
+        // The owner's loop has ended when nobody listens.
+        let _ = self.0.send(Input::Configure);
+    }
+}
+
+/// A gate that asks the advice service.
+#[derive(Debug)]
+struct AdviceGate {
+    /// Its address; `None` for this gate.
+    address: Option<String>,
+    heard: Millis,
+    /// When the questions that it was given are answered.
+    free: Millis,
+}
+
+/// The owner.
+#[derive(Debug)]
+pub struct Owner {
+    shared: Arc<Shared>,
+    adviser: Arc<Adviser>,
+    epoch: u64,
+    revision: u64,
+    /// Whether orders may be given.
+    valid: Arc<AtomicBool>,
+    director: Director,
+    links: HashMap<HostId, HostLink>,
+    gates: HashMap<GateId, AdviceGate>,
+    inputs: mpsc::UnboundedSender<Input>,
+    /// Records that are not written, and the number of the first of them.
+    unwritten: Vec<Record>,
+    first_unwritten: u64,
+    writing: bool,
+    wrote: Millis,
+    batches: u64,
+    /// Cancellations that are answered when the record is written.
+    cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
+    jobs_revision: u64,
+    fenced: bool,
+    starts: HashMap<TaskName, Millis>,
+}
+
+impl Owner {
+    /// Makes the owner of an epoch; `revision` is that of its key.
+    pub fn new(
+        shared: Arc<Shared>,
+        adviser: Arc<Adviser>,
+        epoch: u64,
+        revision: u64,
+        valid: Arc<AtomicBool>,
+    ) -> (Self, mpsc::UnboundedReceiver<Input>) {
+        let (inputs, receiver) = mpsc::unbounded_channel();
+        let now = shared.now();
+        let bounds = &shared.settings.bounds;
+        let settings = DirectorSettings {
+            epoch,
+            // An executor's clock may be 2% slow, and calls take their time.
+            task_lease: Millis(bounds.task_lease_ms * 103 / 100 + 300),
+            shown_for: Millis::from_secs(bounds.shown_s + 30),
+        };
+        let owner = Self {
+            director: Director::new(settings, now),
+            shared,
+            adviser,
+            epoch,
+            revision,
+            valid,
+            links: HashMap::default(),
+            gates: HashMap::default(),
+            inputs,
+            unwritten: Vec::new(),
+            first_unwritten: 1,
+            writing: false,
+            wrote: Millis::ZERO,
+            batches: 0,
+            cancels: Vec::new(),
+            jobs_revision: 0,
+            fenced: false,
+            starts: HashMap::default(),
+        };
+        (owner, receiver)
+    }
+
+    /// Returns the way to this owner.
+    pub fn handle(&self) -> OwnerHandle {
+        OwnerHandle(self.inputs.clone())
+    }
+
+    /// Reads what earlier owners left and decides until the ownership is lost.
+    pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<Input>) -> Result<()> {
+        self.load().await?;
+        tokio::spawn(registry::follow(
+            Arc::clone(&self.shared),
+            self.inputs.clone(),
+        ));
+        tokio::spawn(follow_jobs(
+            Arc::clone(&self.shared),
+            self.inputs.clone(),
+            self.jobs_revision,
+        ));
+        let mut ticks = interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut actions = Vec::new();
+        while !self.fenced {
+            tokio::select! {
+                input = receiver.recv() => {
+                    let Some(input) = input else { break };
+                    self.take(input, &mut actions);
+                    while let Ok(input) = receiver.try_recv() {
+                        self.take(input, &mut actions);
+                    }
+                }
+                _ = ticks.tick() => {
+                    self.director.tick(self.shared.now(), wall(), &mut actions);
+                }
+            }
+            if self.valid.load(Ordering::Relaxed) {
+                self.director.place(self.shared.now(), &mut actions);
+            }
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+            self.write();
+        }
+        Ok(())
+    }
+
+    /// Reads accepted jobs and the log.
+    async fn load(&mut self) -> Result<()> {
+        let begun = self.shared.now();
+        if let Some(manifest) = (**self.shared.manifest.load()).clone() {
+            self.director.configure(Arc::clone(&manifest.rules));
+        }
+        let (jobs, revision) = self.shared.store.range(JOBS).await?;
+        self.jobs_revision = revision;
+        let (batches, _) = self.shared.store.range(LOG).await?;
+        let now = self.shared.now();
+        self.director.tick(now, wall(), &mut Vec::new());
+        for item in &jobs {
+            match decode::<Workflow>(&item.key, &item.value) {
+                Ok(flow) => {
+                    let age = age(flow.accepted);
+                    self.director.restore(flow, now, age);
+                }
+                Err(error) => warn!(error = format!("{error:#}"), "owner: unreadable job."),
+            }
+        }
+        for item in &batches {
+            match decode::<Batch>(&item.key, &item.value) {
+                Ok(batch) => {
+                    for record in &batch.records {
+                        self.director.replay(record, now);
+                    }
+                }
+                Err(error) => warn!(error = format!("{error:#}"), "owner: unreadable batch."),
+            }
+        }
+        let mut actions = Vec::new();
+        self.director.restored(now, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+        let took_ms = self.shared.now().since(begun).0;
+        info!(
+            epoch = self.epoch,
+            jobs = jobs.len(),
+            open = self.director.open(),
+            batches = batches.len(),
+            took_ms,
+            "owner: state read."
+        );
+        Ok(())
+    }
+
+    fn take(&mut self, input: Input, actions: &mut Vec<Action>) {
+        let now = self.shared.now();
+        match input {
+            Input::Call(call, answer) => self.answer(call, answer, actions),
+            Input::Configure => {
+                if let Some(manifest) = (**self.shared.manifest.load()).clone() {
+                    self.director.configure(Arc::clone(&manifest.rules));
+                }
+            }
+            Input::Hosts(list) => self.list(list),
+            Input::Look(host, look) => {
+                self.note_ends(&host, &look);
+                let trusted = self.director.trusted();
+                self.director.look(&host, &look, now, actions);
+                if !trusted && self.director.trusted() {
+                    info!(epoch = self.epoch, "owner: every host is known.");
+                }
+            }
+            Input::Unanswered(host, lease) => self.director.prolong(&host, lease),
+            Input::Start(host, run, result) => {
+                self.fenced |= self.director.start_result(&host, run, result, now, actions);
+            }
+            Input::Stopped(host, run, at) => self.director.stop_result(&host, run, at),
+            Input::Advised(step, named, advice) => {
+                self.director.advised(step, &named, advice.as_ref(), now);
+            }
+            Input::Jobs(flows) => {
+                for flow in flows {
+                    self.submit(flow);
+                }
+            }
+            Input::Written(number) => self.written(number, actions),
+            Input::Fenced => self.fenced = true,
+        }
+    }
+
+    fn submit(&mut self, flow: Workflow) -> bool {
+        // Without a valid ownership another owner may have taken the job already.
+        if !self.valid.load(Ordering::Relaxed) {
+            return false;
+        }
+        let age = age(flow.accepted);
+        let id = flow.id;
+        if self.director.submit(flow, self.shared.now(), age) {
+            debug!(job = %id, age_ms = age.0, "owner: job is known.");
+        }
+        true
+    }
+
+    fn answer(
+        &mut self,
+        call: PeerCall,
+        answer: oneshot::Sender<PeerAnswer>,
+        actions: &mut Vec<Action>,
+    ) {
+        let now = self.shared.now();
+        let reply = match call {
+            PeerCall::Hello(gate, address) => {
+                let entry = self.gates.entry(gate).or_insert(AdviceGate {
+                    address: None,
+                    heard: now,
+                    free: now,
+                });
+                entry.address = Some(address);
+                entry.heard = now;
+                PeerAnswer::Done
+            }
+            PeerCall::Submit(flow) => {
+                if self.submit(*flow) {
+                    PeerAnswer::Done
+                } else {
+                    PeerAnswer::NotOwner
+                }
+            }
+            PeerCall::State(id) => PeerAnswer::State(self.director.shown(id)),
+            PeerCall::Pending(queue) => {
+                PeerAnswer::Pending(u64::try_from(self.director.pending(&queue)).unwrap_or(0))
+            }
+            PeerCall::Cancel(id) => {
+                if !self.valid.load(Ordering::Relaxed) {
+                    PeerAnswer::NotOwner
+                } else if let Some(number) = self.director.cancel(id, now, actions) {
+                    info!(job = %id, record = number, "owner: cancelled.");
+                    self.cancels.push((number, answer));
+                    return;
+                } else {
+                    PeerAnswer::Cancelled(false)
+                }
+            }
+            PeerCall::Advise(..) => PeerAnswer::Failed,
+        };
+        // The caller has given up when nobody listens.
+        let _ = answer.send(reply);
+    }
+
+    fn list(&mut self, list: Vec<(HostEntry, String)>) {
+        let now = self.shared.now();
+        let gone: Vec<HostId> = self
+            .director
+            .hosts()
+            .filter(|(host, listed)| *listed && !list.iter().any(|(entry, _)| entry.id == host.id))
+            .map(|(host, _)| host.id.clone())
+            .collect();
+        for id in gone {
+            info!(host = %id, "owner: host is no longer listed.");
+            self.director.unlist(&id);
+        }
+        for (entry, address) in list {
+            match self.links.get(&entry.id) {
+                Some(link) => link.set_address(&address),
+                None => {
+                    let link = HostLink::open(
+                        &self.shared,
+                        &entry,
+                        address,
+                        self.epoch,
+                        Arc::clone(&self.valid),
+                        self.inputs.clone(),
+                    );
+                    self.links.insert(entry.id.clone(), link);
+                }
+            }
+            if entry.draining {
+                debug!(host = %entry.id, "owner: host is leaving.");
+            }
+            self.director.list(entry, now);
+        }
+        let director = &self.director;
+        self.links.retain(|id, _| director.knows(id));
+    }
+
+    fn note_ends(&mut self, host: &HostId, look: &Look) {
+        for ended in &look.ended {
+            if let Some(started) = self.starts.remove(&ended.task) {
+                let ran = self.shared.now().since(started);
+                let how = ended.how.to_string();
+                self.shared.meters.time("run", &how, ran);
+                info!(task = %ended.task, run = ended.run, host = %host, how, ran_ms = ran.0,
+                    "owner: run ended.");
+            }
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Start(order) => {
+                info!(task = %order.task, run = order.run, host = %order.host,
+                    epoch = self.epoch, "owner: start.");
+                self.starts.insert(order.task, self.shared.now());
+                if let Some(link) = self.links.get(&order.host) {
+                    link.start(order);
+                }
+            }
+            Action::Stop(order) => {
+                info!(task = %order.task, run = order.run, host = %order.host, "owner: stop.");
+                if let Some(link) = self.links.get(&order.host) {
+                    link.stop(order);
+                }
+            }
+            Action::Advise {
+                step,
+                hosts,
+                cost_ms,
+            } => self.advise(step, hosts, cost_ms),
+            Action::Record(record) => {
+                if let Record::Ended(job, shown) = &record {
+                    info!(job = %job, %shown, "owner: job ended.");
+                    self.shared.meters.count("jobs", &shown.to_string());
+                }
+                self.unwritten.push(record);
+            }
+            Action::Look { host } => {
+                if let Some(link) = self.links.get(&host) {
+                    link.look();
+                }
+            }
+            Action::Forget { host, born, number } => {
+                if let Some(link) = self.links.get(&host) {
+                    link.forget(born, number);
+                }
+            }
+        }
+    }
+
+    /// Asks the advice service through the gate with the shortest backlog.
+    fn advise(&mut self, step: StepId, hosts: Vec<HostId>, cost_ms: u64) {
+        let now = self.shared.now();
+        self.gates
+            .retain(|_, gate| gate.address.is_none() || now.since(gate.heard).0 < GATE_MS);
+        self.gates
+            .entry(self.shared.settings.gate.clone())
+            .or_insert(AdviceGate {
+                address: None,
+                heard: now,
+                free: now,
+            });
+        let Some(gate) = self
+            .gates
+            .values_mut()
+            .min_by_key(|gate| (gate.free.max(now), gate.address.is_none()))
+        else {
+            return;
+        };
+        gate.free = gate.free.max(now) + Millis(cost_ms);
+        let backlog = gate.free.since(now).0;
+        let address = gate.address.clone();
+        let shared = Arc::clone(&self.shared);
+        let adviser = Arc::clone(&self.adviser);
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let answer = match &address {
+                None => adviser.ask(&shared, step, &hosts, cost_ms).await.ok(),
+                Some(address) => {
+                    let call = PeerCall::Advise(step, hosts.clone(), cost_ms);
+                    match peers::call(&shared, address, &call, backlog + cost_ms).await {
+                        Ok(PeerAnswer::Advice(good, valid_ms)) => Some((good, valid_ms)),
+                        _ => None,
+                    }
+                }
+            };
+            let heard = shared.now();
+            shared.meters.time("advice", "all", heard.since(now));
+            info!(%step, named = hosts.len(), good = answer.as_ref().map(|(good, _)| good.len()),
+                took_ms = heard.since(now).0, by = address, "owner: advice.");
+            let advice = answer.map(|(good, valid_ms)| Advice {
+                good,
+                until: heard + Millis(valid_ms.saturating_sub(TICKET_WAY_MS)),
+            });
+            let _ = inputs.send(Input::Advised(step, hosts, advice));
+        });
+    }
+
+    fn written(&mut self, number: u64, actions: &mut Vec<Action>) {
+        self.writing = false;
+        self.director.written(number, actions);
+        let done: Vec<_> = self
+            .cancels
+            .extract_if(.., |(record, _)| *record <= number)
+            .collect();
+        for (_, answer) in done {
+            let _ = answer.send(PeerAnswer::Cancelled(true));
+        }
+    }
+
+    /// Writes what is recorded, one write at a time.
+    fn write(&mut self) {
+        let now = self.shared.now();
+        self.flush_forgets();
+        if self.writing || self.unwritten.is_empty() || now.since(self.wrote).0 < WRITE_EVERY_MS {
+            return;
+        }
+        self.wrote = now;
+        self.writing = true;
+        self.batches += 1;
+        let count = self.unwritten.len().min(MOST_RECORDS);
+        let records: Vec<Record> = self.unwritten.drain(..count).collect();
+        let last = self.first_unwritten + u64::try_from(count).unwrap_or(0) - 1;
+        self.first_unwritten = last + 1;
+        let key = batch_key(self.epoch, self.batches);
+        let txn = Txn {
+            expected: vec![(OWNER.to_owned(), self.revision), (key.clone(), 0)],
+            puts: vec![(key.clone(), encode(&Batch { records }), 0)],
+            removes: Vec::new(),
+        };
+        let shared = Arc::clone(&self.shared);
+        let inputs = self.inputs.clone();
+        tokio::spawn(async move {
+            let input = write_batch(&shared, &txn, &key, last).await;
+            let took = shared.now().since(now);
+            shared.meters.time("log_write", "all", took);
+            let _ = inputs.send(input);
+        });
+    }
+
+    /// Lets ends be forgotten that no unwritten record speaks of.
+    fn flush_forgets(&mut self) {
+        if !self.unwritten.is_empty() || self.writing {
+            return;
+        }
+        let mut actions = Vec::new();
+        self.director
+            .written(self.first_unwritten - 1, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+}
+
+/// Writes a batch until it is known to be written or another owner has taken over.
+async fn write_batch(shared: &Shared, txn: &Txn, key: &str, last: u64) -> Input {
+    loop {
+        match shared.store.commit(txn).await {
+            Ok(Committed::Done(_)) => return Input::Written(last),
+            Ok(Committed::Conflict(items)) => {
+                let owned = items
+                    .iter()
+                    .any(|item| item.key == OWNER && item.revision == txn.expected[0].1);
+                let written = items
+                    .iter()
+                    .any(|item| item.key == key && item.revision > 0);
+                if written {
+                    return Input::Written(last);
+                }
+                if !owned {
+                    info!(key, "owner: the log is another owner's now.");
+                    return Input::Fenced;
+                }
+            }
+            Ok(Committed::NoLease) => {}
+            Err(error) => warn!(%error, key, "owner: the log was not written."),
+        }
+        tokio::time::sleep(Duration::from_millis(WRITE_AGAIN_MS)).await;
+    }
+}
+
+/// Finds accepted jobs of which no gate has told, until nobody listens.
+async fn follow_jobs(shared: Arc<Shared>, inputs: mpsc::UnboundedSender<Input>, mut from: u64) {
+    while !inputs.is_closed() {
+        tokio::time::sleep(Duration::from_millis(JOBS_EVERY_MS)).await;
+        let found = match shared.store.watch(JOBS, from, 0).await {
+            Ok((changes, at)) => {
+                from = from.max(at);
+                let items = changes.into_iter().filter_map(|change| match change {
+                    Change::Put(item) => Some(item),
+                    Change::Removed(_) => None,
+                });
+                items.collect()
+            }
+            Err(StoreError::Compacted(_)) => match shared.store.range(JOBS).await {
+                Ok((items, at)) => {
+                    from = from.max(at);
+                    items
+                }
+                Err(error) => {
+                    warn!(%error, "owner: the jobs cannot be read.");
+                    continue;
+                }
+            },
+            Err(error) => {
+                warn!(%error, "owner: the look at jobs failed.");
+                continue;
+            }
+        };
+        let flows: Vec<Workflow> = found
+            .iter()
+            .filter_map(|item| decode(&item.key, &item.value).ok())
+            .collect();
+        if !flows.is_empty() && inputs.send(Input::Jobs(flows)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Returns the keys of jobs.
+pub fn job_keys(ids: &[WorkflowId]) -> Vec<String> {
+    ids.iter().map(|id| job_key(*id)).collect()
+}
--- /dev/null
+++ b/wigeongate/src/entry/ownership.rs
@@ -0,0 +1,186 @@
+//! Which gate is the owner.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use tracing::{info, warn};
+use wigeongate_core::time::Millis;
+use wigeongate_platform::store::{Change, Committed, Item, Txn};
+
+use super::advice::Adviser;
+use super::owner::Owner;
+use super::records::{EPOCH, OWNER, OwnerRecord, decode, encode};
+use super::shared::Shared;
+
+/// How long an ownership lasts without a renewal, in milliseconds: a killed owner's work stands
+/// still that long, and a slow store has to answer in time.
+const TTL_MS: u64 = 1_500;
+
+/// The time between renewals, in milliseconds.
+const RENEW_MS: u64 = 400;
+
+/// How long an owner goes on while the store does not answer, in milliseconds past the end of its
+/// lease; its tasks' leases last as long.
+const ORPHAN_MS: u64 = 6_000;
+
+/// How long a follower waits for a change of the ownership, in milliseconds.
+const WAIT_MS: u64 = 2_000;
+
+/// The pause after a failed call, in milliseconds.
+const PAUSE_MS: u64 = 150;
+
+/// How long followers wait on average before they take over, in milliseconds, so that few try.
+const SPREAD_MS: u64 = 60;
+
+/// Follows the ownership and takes it over when it is free, until the process ends.
+pub async fn follow(shared: Arc<Shared>, adviser: Arc<Adviser>, stop: Arc<Notify>) {
+    let process = rand::random();
+    loop {
+        let result = follow_once(&shared, &adviser, process, &stop).await;
+        shared.set_local(None);
+        if let Err(error) = result {
+            warn!(error = format!("{error:#}"), "ownership: the look failed.");
+            sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+}
+
+fn read(item: &Item) -> Option<OwnerRecord> {
+    decode(OWNER, &item.value)
+        .inspect_err(|error| warn!(error = format!("{error:#}"), "ownership: unreadable."))
+        .ok()
+}
+
+async fn follow_once(
+    shared: &Arc<Shared>,
+    adviser: &Arc<Adviser>,
+    process: u64,
+    stop: &Notify,
+) -> Result<()> {
+    let (items, mut revision) = shared.store.range(OWNER).await?;
+    let mut owner = items.first().and_then(read);
+    loop {
+        let changed = *shared.owner.borrow() != owner;
+        if changed {
+            info!(?owner, revision, "ownership: the owner changed.");
+            shared.owner.send_replace(owner.clone());
+        }
+        if owner.is_none() {
+            if shared.is_stopping() || shared.manifest.load().is_none() {
+                sleep(Duration::from_millis(PAUSE_MS)).await;
+            } else {
+                let spread = rand::random::<u64>() % (2 * SPREAD_MS);
+                sleep(Duration::from_millis(spread)).await;
+                if take_over(shared, adviser, process, stop).await? {
+                    return Ok(());
+                }
+            }
+            let (items, at) = shared.store.range(OWNER).await?;
+            revision = at;
+            owner = items.first().and_then(read);
+            continue;
+        }
+        let (changes, at) = shared.store.watch(OWNER, revision, WAIT_MS).await?;
+        revision = revision.max(at);
+        for change in &changes {
+            owner = match change {
+                Change::Put(item) => read(item),
+                Change::Removed(_) => None,
+            };
+        }
+    }
+}
+
+/// Tries to become the owner; returns whether this gate was it for a while.
+async fn take_over(
+    shared: &Arc<Shared>,
+    adviser: &Arc<Adviser>,
+    process: u64,
+    stop: &Notify,
+) -> Result<bool> {
+    let item = shared.store.get(EPOCH).await?;
+    let (last, epoch_revision): (u64, u64) = match &item {
+        Some(item) => (decode(EPOCH, &item.value)?, item.revision),
+        None => (0, 0),
+    };
+    let sent = shared.now();
+    let lease = shared
+        .store
+        .lease(TTL_MS)
+        .await
+        .wrap_err("taking a lease")?;
+    let record = OwnerRecord {
+        epoch: last + 1,
+        gate: shared.settings.gate.clone(),
+        address: shared.settings.peer.to_string(),
+        process,
+    };
+    let txn = Txn {
+        expected: vec![(OWNER.to_owned(), 0), (EPOCH.to_owned(), epoch_revision)],
+        puts: vec![
+            (OWNER.to_owned(), encode(&record), lease),
+            (EPOCH.to_owned(), encode(&record.epoch), 0),
+        ],
+        removes: Vec::new(),
+    };
+    let revision = match shared.store.commit(&txn).await {
+        Ok(Committed::Done(revision)) => revision,
+        Ok(Committed::Conflict(_) | Committed::NoLease) => return Ok(false),
+        // Whether the write took effect is seen in the next look; the lease ends unless renewed.
+        Err(error) => bail!("taking over: {error}"),
+    };
+    info!(epoch = record.epoch, revision, "ownership: taken over.");
+    shared.owner.send_replace(Some(record.clone()));
+    let valid = Arc::new(AtomicBool::new(true));
+    let (owner, inputs) = Owner::new(
+        Arc::clone(shared),
+        Arc::clone(adviser),
+        record.epoch,
+        revision,
+        Arc::clone(&valid),
+    );
+    shared.set_local(Some(owner.handle()));
+    let result = tokio::select! {
+        result = owner.run(inputs) => result,
+        () = renew(shared, lease, sent, &valid) => Ok(()),
+        () = stop.notified() => Ok(()),
+    };
+    valid.store(false, Ordering::Relaxed);
+    shared.set_local(None);
+    shared.owner.send_replace(None);
+    info!(epoch = record.epoch, "ownership: given up.");
+    if let Err(error) = shared.store.end(lease).await {
+        warn!(%error, "ownership: the lease was not ended.");
+    }
+    result.map(|()| true)
+}
+
+/// Renews the lease until it has ended or the store was silent for too long.
+async fn renew(shared: &Shared, lease: u64, sent: Millis, valid: &AtomicBool) {
+    let mut proved = sent;
+    loop {
+        sleep(Duration::from_millis(RENEW_MS)).await;
+        let sent = shared.now();
+        match shared.store.keep(lease).await {
+            Ok(true) => proved = sent,
+            Ok(false) => {
+                info!(lease, "ownership: the lease has ended.");
+                return;
+            }
+            Err(error) => warn!(%error, lease, "ownership: not renewed."),
+        }
+        let silent = shared.now().since(proved).0;
+        let was = valid.swap(silent < TTL_MS + ORPHAN_MS, Ordering::Relaxed);
+        if was && silent >= TTL_MS + ORPHAN_MS {
+            warn!(
+                silent_ms = silent,
+                "ownership: the store is silent for too long."
+            );
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/wigeongate/src/entry/ready.rs
@@ -0,0 +1,43 @@
+//! Tells the balancer whether this gate takes new connections, and shows metrics.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use wigeongate_platform::intake;
+
+use super::listen::Reply;
+use super::shared::Shared;
+
+/// Answers whether this gate takes new connections.
+pub async fn answer(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
+    if request.uri().path() != intake::READY {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let has_configuration = shared.manifest.load().is_some();
+    let ready = has_configuration && !shared.is_stopping();
+    plain(if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+/// Answers with the metrics as text.
+pub async fn metrics(shared: Arc<Shared>, _request: Request<Incoming>) -> Reply {
+    let mut text = shared.meters.text();
+    text.push_str(&format!(
+        "wigeongate_configuration_age_ms {}\n",
+        shared.age().0
+    ));
+    Response::new(Full::new(Bytes::from(text)))
+}
+
+/// Makes an answer without a body.
+pub fn plain(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
--- a/wigeongate/src/lib.rs
+++ b/wigeongate/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod cluster;
 pub mod dev;
+pub mod entry;
 pub mod etcd;
 pub mod gate;
 pub mod http;
--- a/wigeongate/src/logs.rs
+++ b/wigeongate/src/logs.rs
@@ -1,13 +1,17 @@
-//! Structured logs on standard error.
+//! Structured logs on standard output.
 
-use std::io::{IsTerminal, stderr};
+use std::io::{IsTerminal, stdout};
 
 use derive_more::{Display, FromStr};
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// What is logged when the environment does not say.
 const FILTER: &str = "info";
 
+/// How many lines wait for standard output; later ones are dropped and never delay a request.
+const QUEUE_LINES: usize = 8_192;
+
 /// How log lines are written.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display, FromStr)]
 pub enum Format {
@@ -21,16 +25,23 @@
 }
 
 /// Starts logging; the environment variable `RUST_LOG` sets the filter.
-pub fn init(format: Format) {
+///
+/// The last lines are written when the guard is dropped.
+pub fn init(format: Format) -> WorkerGuard {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(FILTER));
     let plain = std::env::var_os("NO_COLOR").is_some_and(|value| !value.is_empty());
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(QUEUE_LINES)
+        .lossy(true)
+        .finish(stdout());
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_ansi(stderr().is_terminal() && !plain)
+        .with_ansi(stdout().is_terminal() && !plain)
         .with_target(false)
-        .with_writer(stderr);
+        .with_writer(writer);
     match format {
         Format::Text => builder.init(),
-        Format::Json => builder.json().init(),
+        Format::Json => builder.json().flatten_event(true).init(),
     }
+    guard
 }
--- a/wigeongate/src/main.rs
+++ b/wigeongate/src/main.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use eyre::{Result, WrapErr};
+use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 use tracing::info;
@@ -11,21 +12,23 @@
 use wigeongate::dev::{self, Dev};
 use wigeongate::gate::Gate;
 use wigeongate::logs;
+use wigeongate_config::entry::EntrySettings;
 use wigeongate_config::load::{self, Mistakes};
 use wigeongate_config::settings::Settings;
 use wigeongate_core::job::{JobSpec, Outcome};
 
-#[tokio::main]
-async fn main() -> ExitCode {
+fn main() -> ExitCode {
     let options = match cli::parse() {
         Ok(options) => options,
         Err(code) => return code,
     };
-    logs::init(options.log_format);
+    let _logs = logs::init(options.log_format);
     let result = match options.command {
-        Command::Run { settings } => run(&settings).await,
         Command::Check { files } => return check(&files),
-        Command::Dev(dev) => develop(&dev).await,
+        // An entry host has a quarter of a core: one thread serves everything.
+        Command::Serve { settings } => block_on(Builder::new_current_thread(), serve(&settings)),
+        Command::Run { settings } => block_on(Builder::new_multi_thread(), run(&settings)),
+        Command::Dev(dev) => block_on(Builder::new_multi_thread(), develop(&dev)),
     };
     result.unwrap_or_else(|error| {
         eprintln!("wigeongate: {error:#}");
@@ -38,6 +41,14 @@
     })
 }
 
+/// Runs a command to its end.
+fn block_on(
+    mut builder: Builder,
+    command: impl Future<Output = Result<ExitCode>>,
+) -> Result<ExitCode> {
+    builder.enable_all().build()?.block_on(command)
+}
+
 /// Prints what is wrong with the files, or what they hold.
 fn check(files: &[PathBuf]) -> ExitCode {
     match load::check_files(files) {
@@ -62,6 +73,14 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs a gate on an entry host.
+async fn serve(path: &Path) -> Result<ExitCode> {
+    let settings: EntrySettings = load::read(path)?;
+    let stop = stop_on_signal()?;
+    wigeongate::entry::run(settings, stop).await?;
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn develop(command: &cli::Dev) -> Result<ExitCode> {
     let options = dev::Options {
         inventory: &command.inventory,
