Count failed runs one by one and ask advice only for room that is there

Change: failed runs are a set, written with their numbers; a pass takes the room that steps before need out of what later ones may ask for, tries 256 steps at most, and runs at most every 20 ms when more than 48 steps wait; a question is not given to a gate with a backlog over 1.5 s. A restarted owner ends its earlier process's ownership.

--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -6,6 +6,7 @@
 use super::host::{Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Shown, Step};
 use super::message::{Action, How, StopOrder};
+use super::pass::Pass;
 use super::restore::Record;
 use super::rules::{QueueRules, Rules};
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
@@ -85,6 +86,7 @@
     pub(super) good_shares: HashMap<QueueId, (u32, u32)>,
     /// Whether something changed that may let work start.
     pub(super) dirty: bool,
+    pub(super) pass: Pass,
 }
 
 impl Director {
@@ -181,6 +183,11 @@
         self.jobs.values().filter(waits).count()
     }
 
+    /// Returns how many steps have tasks that wait.
+    pub fn waiting(&self) -> usize {
+        self.ready.len()
+    }
+
     /// Returns how many jobs have not ended.
     pub fn open(&self) -> usize {
         self.jobs.values().filter(|job| job.end.is_none()).count()
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -6,7 +6,7 @@
 use super::host::{Claim, RunKey, Stage};
 use super::job::{Phase, Shown};
 use super::message::{Action, Ended, How, Look, Refusal, Running, StartResult};
-use super::restore::{Failure, Record};
+use super::restore::Record;
 use super::spec::{StepId, TaskName};
 use crate::ids::HostId;
 use crate::time::Millis;
@@ -389,15 +389,12 @@
             return;
         }
         let Some(task) = self.task(name) else { return };
-        if how == How::Failed && !lasts && run > task.failed_run {
-            task.failures += 1;
-            task.failed_run = run;
-            let failure = Failure {
-                count: task.failures,
-                run,
-            };
-            self.record(Record::Failed(name, failure), out);
-            if failure.count >= attempts {
+        if how == How::Failed && !lasts && task.fail(run) {
+            self.record(Record::Failed(name, run), out);
+            if self
+                .step(name.step)
+                .is_some_and(|step| step.has_failed(attempts))
+            {
                 self.end(name.step.job, Shown::Failed, now, out);
                 return;
             }
@@ -467,15 +464,10 @@
             self.advance(at.job, now, out);
             return;
         }
-        if how == How::Failed && run > step.failed_run && !step.spec.long_running {
-            step.failures += 1;
-            step.failed_run = run;
-            let failure = Failure {
-                count: step.failures,
-                run,
-            };
-            self.record(Record::GangFailed(at, failure), out);
-            if failure.count >= attempts {
+        if how == How::Failed && !step.spec.long_running && step.fail(run) {
+            let exhausted = step.has_failed(attempts);
+            self.record(Record::GangFailed(at, run), out);
+            if exhausted {
                 self.end(at.job, Shown::Failed, now, out);
                 return;
             }
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -53,10 +53,8 @@
     pub phase: Phase,
     /// The number of its newest start.
     pub run: u32,
-    /// How many of its runs failed.
-    pub failures: u32,
-    /// The number of the newest run that failed; runs up to it have been counted.
-    pub failed_run: u32,
+    /// The numbers of its runs that failed; ends of hosts come in any order.
+    pub failed: Vec<u32>,
     /// Its newest checkpoint; empty for none.
     pub saved: Arc<str>,
     /// The hosts on which runs of it take room.
@@ -91,10 +89,8 @@
     pub waiting: u32,
     /// Tasks that have not ended well.
     pub left: u32,
-    /// Failed runs of a gang.
-    pub failures: u32,
-    /// The number of the newest run of a gang that failed.
-    pub failed_run: u32,
+    /// The numbers of the runs of a gang that failed.
+    pub failed: Vec<u32>,
     /// Whether a stop of every member of a gang's newest run was ordered.
     pub breaking: bool,
     /// Which hosts may run it.
@@ -205,6 +201,18 @@
     }
 }
 
+impl Task {
+    /// Notes a failed run; returns whether it was not known.
+    pub fn fail(&mut self, run: u32) -> bool {
+        let new = !self.failed.contains(&run);
+        if new {
+            self.failed.push(run);
+            self.run = self.run.max(run);
+        }
+        new
+    }
+}
+
 impl Occurrence {
     fn new(flow: &Workflow, at: u32) -> Self {
         let due = flow
@@ -237,8 +245,7 @@
         let task = Task {
             phase: Phase::Waiting,
             run: 0,
-            failures: 0,
-            failed_run: 0,
+            failed: Vec::new(),
             saved: Arc::from(""),
             places: Vec::new(),
             failed_on: None,
@@ -248,8 +255,7 @@
             tasks: vec![task; usize::try_from(spec.count).unwrap_or_default()],
             waiting: spec.count,
             left: spec.count,
-            failures: 0,
-            failed_run: 0,
+            failed: Vec::new(),
             breaking: false,
             known: Known::default(),
             ready: None,
@@ -269,6 +275,21 @@
         }
     }
 
+    /// Notes a failed run of a gang; returns whether it was not known.
+    pub fn fail(&mut self, run: u32) -> bool {
+        let new = !self.failed.contains(&run);
+        if new {
+            self.failed.push(run);
+        }
+        new
+    }
+
+    /// Returns whether the gang or a task of it failed so many times.
+    pub fn has_failed(&self, times: u32) -> bool {
+        let reached = |runs: &Vec<u32>| u32::try_from(runs.len()).is_ok_and(|runs| runs >= times);
+        reached(&self.failed) || self.tasks.iter().any(|task| reached(&task.failed))
+    }
+
     /// Returns the highest number of a start.
     pub fn run(&self) -> u32 {
         self.tasks.iter().map(|task| task.run).max().unwrap_or(0)
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -17,6 +17,16 @@
 /// How long room is kept for a gang that waits, in milliseconds; each pass renews it.
 const KEEP_MS: u64 = 400;
 
+/// The most steps that one pass tries: with more, the fleet is full for seconds.
+const MOST_STEPS: usize = 256;
+
+/// What a pass keeps count of.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    /// Free room of each service that no step before in the pass needs.
+    room: HashMap<String, Resources>,
+}
+
 /// The place of a step in a pass; the smallest goes first.
 type Order = (u32, u32, Millis, StepId);
 
@@ -34,11 +44,40 @@
             .filter_map(|step| self.order(*step, now, &room))
             .collect();
         steps.sort_unstable();
-        for (lateness, _, _, step) in steps {
+        self.pass = Pass {
+            room: self.whole_room(now),
+        };
+        for (lateness, _, _, step) in steps.into_iter().take(MOST_STEPS) {
             self.place_step(step, lateness, now, out);
         }
     }
 
+    /// Returns the free room of each service, on all hosts together.
+    fn whole_room(&self, now: Millis) -> HashMap<String, Resources> {
+        let mut rooms: HashMap<String, Resources> = HashMap::default();
+        for host in self.hosts.values().filter(|host| host.takes_work(now)) {
+            let free = host.entry.capacity.saturating_sub(&host.used);
+            match rooms.get_mut(&host.entry.service) {
+                Some(room) => *room += free,
+                None => {
+                    rooms.insert(host.entry.service.clone(), free);
+                }
+            }
+        }
+        rooms
+    }
+
+    /// Takes room for waiting tasks out of what the rest of the pass may ask advice for; returns
+    /// whether there was any.
+    fn promise(&mut self, service: &str, wanted: Resources) -> bool {
+        let Some(room) = self.pass.room.get_mut(service) else {
+            return false;
+        };
+        let any = room.cpu > 0 && room.memory > 0;
+        *room = room.saturating_sub(&wanted);
+        any
+    }
+
     /// Returns the largest free amount of each resource on any host of each service.
     fn largest_room(&self, now: Millis) -> HashMap<String, Resources> {
         let mut rooms: HashMap<String, Resources> = HashMap::default();
@@ -125,7 +164,7 @@
     }
 
     fn place_tasks(&mut self, at: StepId, rules: &QueueRules, now: Millis, out: &mut Vec<Action>) {
-        let waiting = self.waiting(at);
+        let waiting = self.waiting_tasks(at);
         for (index, failed_on) in waiting {
             if !self.within_limit(at, 1) {
                 return;
@@ -138,9 +177,12 @@
                 None => break,
             }
         }
-        let left = self.step(at).map_or(0, |step| step.waiting);
+        let (left, size) = self
+            .step(at)
+            .map_or((0, Resources::ZERO), |step| (step.waiting, step.spec.size));
         if left > 0
             && let Some(cost) = rules.advice
+            && self.promise(&rules.service, size.times(u64::from(left)))
         {
             self.with_need(at, rules, now, |director, need| {
                 director.ask(need, cost, now, out);
@@ -148,7 +190,7 @@
         }
     }
 
-    fn waiting(&mut self, at: StepId) -> Vec<(u32, Option<HostId>)> {
+    fn waiting_tasks(&mut self, at: StepId) -> Vec<(u32, Option<HostId>)> {
         let Some(step) = self.step(at) else {
             return Vec::new();
         };
@@ -187,7 +229,9 @@
             self.unreserve(at);
             return;
         }
-        let cost = rules.advice;
+        let size = self.step(at).map_or(Resources::ZERO, |step| step.spec.size);
+        let room = self.promise(&rules.service, size.times(u64::from(count)));
+        let cost = rules.advice.filter(|_| room);
         self.with_need(at, rules, now, |director, need| {
             if let Some(cost) = cost {
                 director.ask(need, cost, now, out);
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -15,23 +15,14 @@
     Done(TaskName),
     /// Every task of a gang did its work.
     GangDone(StepId),
-    /// A run of a task failed.
-    Failed(TaskName, Failure),
-    /// A run of a gang failed.
-    GangFailed(StepId, Failure),
+    /// The run of a task with this number failed.
+    Failed(TaskName, u32),
+    /// The run of a gang with this number failed.
+    GangFailed(StepId, u32),
     /// A job ended.
     Ended(WorkflowId, Shown),
 }
 
-/// The failed runs of a task or a gang.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Failure {
-    /// How many runs failed so far.
-    pub count: u32,
-    /// The number of the newest of them.
-    pub run: u32,
-}
-
 impl Record {
     /// Returns the job that the record speaks of.
     pub const fn job(&self) -> WorkflowId {
@@ -89,23 +80,20 @@
                     step.waiting = 0;
                 }
             }
-            Record::Failed(task, failure) => {
+            Record::Failed(task, run) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, task.step)
                     && let Some(state) = usize::try_from(task.index)
                         .ok()
                         .and_then(|at| step.tasks.get_mut(at))
                 {
-                    state.failures = state.failures.max(failure.count);
-                    state.failed_run = state.failed_run.max(failure.run);
-                    state.run = state.run.max(failure.run);
+                    state.fail(*run);
                 }
             }
-            Record::GangFailed(at, failure) => {
+            Record::GangFailed(at, run) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, *at) {
-                    step.failures = step.failures.max(failure.count);
-                    step.failed_run = step.failed_run.max(failure.run);
+                    step.fail(*run);
                 }
             }
         }
@@ -124,9 +112,7 @@
             .iter()
             .flat_map(|occurrence| &occurrence.steps)
             .filter(|step| step.left > 0 && !step.spec.long_running)
-            .any(|step| {
-                step.failures >= attempts || step.tasks.iter().any(|task| task.failures >= attempts)
-            })
+            .any(|step| step.has_failed(attempts))
     }
 
     /// Ends the restoring: jobs whose tasks had all ended are completed, steps become ready.
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -42,6 +42,16 @@
 /// What an issued ticket is shortened by for its way here, in milliseconds.
 const TICKET_WAY_MS: u64 = 30;
 
+/// How many waiting steps a pass may go through whenever something happens.
+const FEW_STEPS: usize = 48;
+
+/// The time between passes through more steps, in milliseconds: a pass over hundreds takes about
+/// one, of a quarter of a core.
+const PASS_EVERY_MS: u64 = 20;
+
+/// The longest backlog of questions at a gate, in milliseconds: tickets would end before use.
+const BACKLOG_MS: u64 = 1_500;
+
 /// The most records in one write.
 const MOST_RECORDS: usize = 5_000;
 
@@ -129,6 +139,8 @@
     cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     jobs_revision: u64,
     fenced: bool,
+    /// When the last pass was made.
+    passed: Millis,
     starts: HashMap<TaskName, Millis>,
 }
 
@@ -168,6 +180,7 @@
             cancels: Vec::new(),
             jobs_revision: 0,
             fenced: false,
+            passed: Millis::ZERO,
             starts: HashMap::default(),
         };
         (owner, receiver)
@@ -206,8 +219,15 @@
                     self.director.tick(self.shared.now(), wall(), &mut actions);
                 }
             }
-            if self.valid.load(Ordering::Relaxed) {
-                self.director.place(self.shared.now(), &mut actions);
+            let now = self.shared.now();
+            let rest = if self.director.waiting() > FEW_STEPS {
+                PASS_EVERY_MS
+            } else {
+                0
+            };
+            if self.valid.load(Ordering::Relaxed) && now.since(self.passed).0 >= rest {
+                self.passed = now;
+                self.director.place(now, &mut actions);
             }
             for action in actions.drain(..) {
                 self.carry_out(action);
@@ -467,6 +487,11 @@
         else {
             return;
         };
+        if gate.free.since(now).0 > BACKLOG_MS {
+            info!(%step, backlog_ms = gate.free.since(now).0, "owner: no gate is free for advice.");
+            let _ = self.inputs.send(Input::Advised(step, hosts, None));
+            return;
+        }
         gate.free = gate.free.max(now) + Millis(cost_ms);
         let backlog = gate.free.since(now).0;
         let address = gate.address.clone();
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -84,6 +84,19 @@
             owner = items.first().and_then(read);
             continue;
         }
+        if let Some(stale) = owner
+            .as_ref()
+            .filter(|owner| owner.gate == shared.settings.gate && owner.process != process)
+        {
+            // An earlier process of this gate was the owner and is gone.
+            info!(
+                epoch = stale.epoch,
+                "ownership: an earlier process of this gate held it."
+            );
+            remove(shared, items.first().map_or(0, |item| item.revision)).await?;
+            owner = None;
+            continue;
+        }
         let (changes, at) = shared.store.watch(OWNER, revision, WAIT_MS).await?;
         revision = revision.max(at);
         for change in &changes {
@@ -95,6 +108,17 @@
     }
 }
 
+/// Removes the ownership of a gate that is gone.
+async fn remove(shared: &Shared, revision: u64) -> Result<()> {
+    let txn = Txn {
+        expected: vec![(OWNER.to_owned(), revision)],
+        removes: vec![OWNER.to_owned()],
+        ..Txn::default()
+    };
+    shared.store.commit(&txn).await?;
+    Ok(())
+}
+
 /// Tries to become the owner; returns whether this gate was it for a while.
 async fn take_over(
     shared: &Arc<Shared>,
