Test jobs of several steps on fake executors with faults

Found on the way: replies of the test's own executors were given to the wrong epoch; mended in the test.

--- /dev/null
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -0,0 +1,266 @@
+//! Jobs of several steps on fake executors: directed cases, and random days with faults.
+
+mod world;
+
+use wigeongate_core::resources::Resources;
+use wigeongate_core::workflow::{How, Shown, StepId, StepSpec, TaskName, WorkflowId};
+
+use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
+
+const CORE: u64 = 1_000;
+
+fn world(hosts: usize, attempts: u32) -> World {
+    let hosts = (0..hosts).map(|at| host(at, 8 * CORE)).collect();
+    let mut world = World::new(
+        1,
+        hosts,
+        rules(attempts, Resources::UNBOUNDED),
+        Faults::default(),
+    );
+    world.pass(100);
+    world
+}
+
+fn task(job: u64, step: u16, index: u32) -> TaskName {
+    TaskName {
+        step: StepId {
+            job: WorkflowId(job),
+            occurrence: 0,
+            step,
+        },
+        index,
+    }
+}
+
+/// A job and how it is shown after a time.
+struct Case {
+    name: &'static str,
+    steps: Vec<StepSpec>,
+    after_ms: u64,
+    shown: Shown,
+    starts: u32,
+}
+
+#[test]
+fn jobs_run_as_they_were_asked_for() {
+    let gang = StepSpec {
+        gang: true,
+        ..step(4, 4 * CORE)
+    };
+    let cases = [
+        Case {
+            name: "tasks of one step",
+            steps: vec![step(5, CORE)],
+            after_ms: 1_000,
+            shown: Shown::Completed,
+            starts: 5,
+        },
+        Case {
+            name: "a step after another",
+            steps: vec![
+                step(3, CORE),
+                StepSpec {
+                    after: vec![0],
+                    ..step(2, CORE)
+                },
+            ],
+            after_ms: 2_000,
+            shown: Shown::Completed,
+            starts: 5,
+        },
+        Case {
+            name: "a gang that fills the fleet",
+            steps: vec![gang.clone()],
+            after_ms: 1_000,
+            shown: Shown::Completed,
+            starts: 4,
+        },
+        Case {
+            name: "a gang that never fits waits",
+            steps: vec![StepSpec { count: 9, ..gang }],
+            after_ms: 1_000,
+            shown: Shown::Queued,
+            starts: 0,
+        },
+        Case {
+            name: "a bound on one host",
+            steps: vec![StepSpec {
+                per_host: 1,
+                ..step(2, CORE)
+            }],
+            after_ms: 1_000,
+            shown: Shown::Completed,
+            starts: 2,
+        },
+        Case {
+            name: "a service runs on",
+            steps: vec![StepSpec {
+                long_running: true,
+                ..step(2, CORE)
+            }],
+            after_ms: 5_000,
+            shown: Shown::Running,
+            starts: 2,
+        },
+        Case {
+            name: "a label that no host has",
+            steps: vec![StepSpec {
+                requires: Some("kind-z".to_owned()),
+                ..step(1, CORE)
+            }],
+            after_ms: 1_000,
+            shown: Shown::Queued,
+            starts: 0,
+        },
+    ];
+    for case in cases {
+        let mut world = world(2, 3);
+        world.submit(flow(7, case.steps, None));
+        world.pass(case.after_ms);
+        assert_eq!(world.shown(7), Some(case.shown), "{}", case.name);
+        assert_eq!(world.starts, case.starts, "{}", case.name);
+        assert_eq!(world.broken, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_failure_that_a_new_owner_reads_late_counts() {
+    // Two hosts, one room each: the runs of the task alternate, and the new owner reads the newer
+    // failure first.
+    let hosts = vec![host(0, 8 * CORE), host(1, 8 * CORE)];
+    let first = hosts[0].id.clone();
+    let mut world = World::new(1, hosts, rules(2, Resources::UNBOUNDED), Faults::default());
+    world.pass(100);
+    world.submit(flow(9, vec![step(1, CORE)], None));
+    world.pass(30);
+    world.end_run(task(9, 0, 0), How::Failed);
+    // The next look orders the second run; its failure comes before either is written.
+    world.pass(60);
+    world.end_run(task(9, 0, 0), How::Failed);
+    world.set_reachable(&first, false);
+    world.take_over();
+    world.pass(40);
+    world.set_reachable(&first, true);
+    world.pass(3_000);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.shown(9), Some(Shown::Failed));
+    assert_eq!(world.starts, 2);
+}
+
+#[test]
+fn a_cancelled_job_leaves_nothing_running() {
+    let mut world = world(2, 3);
+    let service = StepSpec {
+        long_running: true,
+        ..step(4, CORE)
+    };
+    world.submit(flow(3, vec![service], None));
+    world.pass(200);
+    assert_eq!(world.places(task(3, 0, 0)).len(), 1);
+    world.cancel(3);
+    world.pass(500);
+    assert_eq!(world.shown(3), Some(Shown::Cancelled));
+    for index in 0..4 {
+        assert!(world.places(task(3, 0, index)).is_empty());
+    }
+}
+
+#[test]
+fn a_host_that_is_cut_off_keeps_its_tasks_until_their_lease_ends() {
+    let mut world = world(2, 3);
+    let service = StepSpec {
+        long_running: true,
+        ..step(1, CORE)
+    };
+    world.submit(flow(4, vec![service], None));
+    world.pass(200);
+    let place = world.places(task(4, 0, 0))[0].clone();
+    world.set_reachable(&place, false);
+    world.pass(LEASE_MS - 500);
+    assert_eq!(world.starts, 1);
+    world.pass(1_000);
+    assert_eq!(world.starts, 2);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn random_days_break_no_rule() {
+    struct Day {
+        name: &'static str,
+        faults: Faults,
+        maximum: Resources,
+    }
+    let days = [
+        Day {
+            name: "calm",
+            faults: Faults::default(),
+            maximum: Resources::UNBOUNDED,
+        },
+        Day {
+            name: "a team at its limit",
+            faults: Faults::default(),
+            maximum: Resources {
+                cpu: 12 * CORE,
+                ..Resources::UNBOUNDED
+            },
+        },
+        Day {
+            name: "late orders and failing runs",
+            faults: Faults {
+                late: 8,
+                failing: 10,
+                ..Faults::default()
+            },
+            maximum: Resources::UNBOUNDED,
+        },
+        Day {
+            name: "owners and executors change",
+            faults: Faults {
+                late: 0,
+                failing: 10,
+                crash: 40,
+                takeover: 60,
+            },
+            maximum: Resources::UNBOUNDED,
+        },
+    ];
+    for day in days {
+        for seed in 0..12 {
+            let hosts = (0..6).map(|at| host(at, 8 * CORE)).collect();
+            let mut world = World::new(seed, hosts, rules(3, day.maximum), day.faults);
+            for id in 1..60 {
+                let steps = random_steps(&mut world);
+                world.submit(flow(id, steps, None));
+                let wait = world.rng.below(200);
+                world.pass(wait);
+            }
+            world.faults = Faults::default();
+            world.pass(30_000);
+            assert_eq!(world.broken, Vec::<String>::new(), "{} {seed}", day.name);
+            for id in 1..60 {
+                let shown = world.shown(id);
+                let ended = matches!(shown, Some(Shown::Completed | Shown::Failed));
+                assert!(ended, "{} {seed}: job {id} is {shown:?}", day.name);
+            }
+        }
+    }
+}
+
+fn random_steps(world: &mut World) -> Vec<StepSpec> {
+    let rng = &mut world.rng;
+    let count = 1 + rng.below(3);
+    (0..count)
+        .map(|at| {
+            let width = u32::try_from(1 + rng.below(4)).unwrap_or(1);
+            StepSpec {
+                gang: rng.chance(30),
+                after: if at > 0 && rng.chance(60) {
+                    vec![u16::try_from(at - 1).unwrap_or(0)]
+                } else {
+                    Vec::new()
+                },
+                ..step(width, CORE * (1 + rng.below(3)))
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -0,0 +1,666 @@
+//! Fake executors and a store around a director, with faults and a check of every start.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use wigeongate_core::collections::HashMap;
+use wigeongate_core::ids::{HostId, QueueId, TeamId, ZoneId};
+use wigeongate_core::resources::Resources;
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, Director, DirectorSettings, Ended, HostEntry, How, Look, QueueRules, Record, Refusal,
+    Repeat, Rules, Running, Shown, StartOrder, StartResult, StepId, StepSpec, StopOrder, TaskName,
+    TeamRules, Workflow, WorkflowId, WorkflowSpec,
+};
+
+/// The lease of tasks, in milliseconds.
+pub const LEASE_MS: u64 = 3_000;
+
+/// The time of a step of the world, in milliseconds.
+const STEP_MS: u64 = 10;
+
+/// A generator of reproducible choices.
+#[derive(Debug, Clone)]
+pub struct Rng(u64);
+
+impl Rng {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1)
+    }
+
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % bound
+    }
+
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    size: Resources,
+    until: u64,
+    how: How,
+}
+
+#[derive(Debug)]
+struct Executor {
+    entry: HostEntry,
+    born: u64,
+    fence: u64,
+    up: bool,
+    running: BTreeMap<(TaskName, u32), Run>,
+    refused: BTreeMap<TaskName, u32>,
+    ended: Vec<Ended>,
+    next_end: u64,
+    forgotten: u64,
+    lease: u64,
+}
+
+impl Executor {
+    fn used(&self) -> Resources {
+        self.running.values().map(|run| run.size).sum()
+    }
+
+    fn end(&mut self, key: (TaskName, u32), how: How) {
+        self.running.remove(&key);
+        let refused = self.refused.entry(key.0).or_default();
+        *refused = (*refused).max(key.1);
+        self.ended.push(Ended {
+            number: self.next_end,
+            task: key.0,
+            run: key.1,
+            how,
+            saved: String::new(),
+        });
+        self.next_end += 1;
+    }
+}
+
+#[derive(Debug, Clone)]
+enum Message {
+    /// An order with the boot that it was sent to: the connection ends with the boot.
+    Start(StartOrder, u64, Resources, u64),
+    Stop(StopOrder, u64),
+    Look(HostId),
+    Forget(HostId, u64, u64),
+    Written(u64),
+    Advice(StepId, Vec<HostId>),
+    Result(HostId, (TaskName, u32), StartResult),
+    Stopped(HostId, (TaskName, u32), u64),
+    Saw(HostId, Look),
+}
+
+/// How often things go wrong, in percent.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Faults {
+    /// Orders that get no answer and are carried out late.
+    pub late: u64,
+    /// Runs that fail.
+    pub failing: u64,
+    /// Executors that crash, in each hundred steps.
+    pub crash: u64,
+    /// Owners that are replaced, in each hundred steps.
+    pub takeover: u64,
+}
+
+/// The world around a director.
+#[derive(Debug)]
+pub struct World {
+    pub now: u64,
+    pub rng: Rng,
+    pub faults: Faults,
+    pub director: Director,
+    pub broken: Vec<String>,
+    pub starts: u32,
+    epoch: u64,
+    executors: BTreeMap<HostId, Executor>,
+    messages: BTreeMap<(u64, u64), (u64, Message)>,
+    sent: u64,
+    flows: Vec<Workflow>,
+    log: Vec<Record>,
+    unwritten: Vec<Record>,
+    rules: Arc<Rules>,
+    done: BTreeSet<TaskName>,
+    failed: HashMap<TaskName, BTreeSet<u32>>,
+    gang_failed: HashMap<StepId, BTreeSet<u32>>,
+}
+
+pub fn queue() -> QueueId {
+    QueueId::from("bundles")
+}
+
+pub fn team() -> TeamId {
+    TeamId::from("branch")
+}
+
+pub fn rules(attempts: u32, maximum: Resources) -> Rules {
+    let mut rules = Rules {
+        version: 1,
+        ..Rules::default()
+    };
+    rules.queues.insert(
+        queue(),
+        QueueRules {
+            service: "desk".to_owned(),
+            attempts,
+            stretch: 2.0,
+            target: Millis(500),
+            ..QueueRules::default()
+        },
+    );
+    rules.teams.insert(
+        team(),
+        TeamRules {
+            weight: 1.0,
+            maximum,
+        },
+    );
+    rules
+}
+
+pub fn step(count: u32, cpu: u64) -> StepSpec {
+    StepSpec {
+        count,
+        size: Resources {
+            cpu,
+            memory: 1_000,
+            accelerators: 0,
+        },
+        estimate: Millis(300),
+        ..StepSpec::default()
+    }
+}
+
+pub fn flow(id: u64, steps: Vec<StepSpec>, repeat: Option<Repeat>) -> Workflow {
+    Workflow {
+        id: WorkflowId(id),
+        queue: queue(),
+        team: Some(team()),
+        accepted: 0,
+        spec: Arc::new(WorkflowSpec {
+            command: "assemble".to_owned(),
+            steps,
+            repeat,
+        }),
+    }
+}
+
+pub fn host(at: usize, cpu: u64) -> HostEntry {
+    HostEntry {
+        id: HostId::from(format!("w-{at}")),
+        service: "desk".to_owned(),
+        zone: ZoneId::from(["a", "b", "c"][at % 3]),
+        capacity: Resources {
+            cpu,
+            memory: 64_000,
+            accelerators: 0,
+        },
+        labels: vec!["kind-a".to_owned(), format!("rack-{}", at / 2)],
+        ..HostEntry::default()
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, hosts: Vec<HostEntry>, rules: Rules, faults: Faults) -> Self {
+        let mut world = Self {
+            now: 1_000,
+            rng: Rng::new(seed),
+            faults,
+            director: Director::default(),
+            broken: Vec::new(),
+            starts: 0,
+            epoch: 0,
+            executors: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            sent: 0,
+            flows: Vec::new(),
+            log: Vec::new(),
+            unwritten: Vec::new(),
+            rules: Arc::new(rules),
+            done: BTreeSet::new(),
+            failed: HashMap::default(),
+            gang_failed: HashMap::default(),
+        };
+        for entry in hosts {
+            let executor = Executor {
+                born: 1,
+                fence: 0,
+                up: true,
+                running: BTreeMap::new(),
+                refused: BTreeMap::new(),
+                ended: Vec::new(),
+                next_end: 1,
+                forgotten: 0,
+                lease: 0,
+                entry: entry.clone(),
+            };
+            world.executors.insert(entry.id, executor);
+        }
+        world.take_over();
+        world
+    }
+
+    /// Replaces the owner; what was not written is lost.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.unwritten.clear();
+        let now = Millis(self.now);
+        let settings = DirectorSettings {
+            epoch: self.epoch,
+            task_lease: Millis(LEASE_MS + 300),
+            ..DirectorSettings::default()
+        };
+        self.director = Director::new(settings, now);
+        self.director.configure(Arc::clone(&self.rules));
+        let mut actions = Vec::new();
+        self.director.tick(now, self.now, &mut actions);
+        for flow in self.flows.clone() {
+            self.director.restore(flow, now, Millis::ZERO);
+        }
+        for record in &self.log {
+            self.director.replay(record, now);
+        }
+        self.director.restored(now, &mut actions);
+        let entries: Vec<HostEntry> = self.executors.values().map(|at| at.entry.clone()).collect();
+        for entry in entries {
+            let id = entry.id.clone();
+            self.director.list(entry, now);
+            self.send(1, Message::Look(id));
+        }
+        self.carry_out(actions);
+    }
+
+    fn send(&mut self, delay: u64, message: Message) {
+        self.reply(self.epoch, delay, message);
+    }
+
+    /// Sends an answer to a message of an epoch.
+    fn reply(&mut self, epoch: u64, delay: u64, message: Message) {
+        self.sent += 1;
+        self.messages
+            .insert((self.now + delay, self.sent), (epoch, message));
+    }
+
+    /// Stores a job and tells the owner.
+    pub fn submit(&mut self, flow: Workflow) {
+        self.flows.push(flow.clone());
+        self.director.submit(flow, Millis(self.now), Millis::ZERO);
+    }
+
+    pub fn cancel(&mut self, id: u64) {
+        let mut actions = Vec::new();
+        self.director
+            .cancel(WorkflowId(id), Millis(self.now), &mut actions);
+        self.carry_out(actions);
+    }
+
+    pub fn crash(&mut self, id: &HostId) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.running.clear();
+            executor.refused.clear();
+            executor.ended.clear();
+            executor.next_end = 1;
+            executor.forgotten = 0;
+            executor.fence = 0;
+            executor.born += 1;
+        }
+    }
+
+    /// Returns the hosts on which a task runs.
+    pub fn places(&self, task: TaskName) -> Vec<&HostId> {
+        self.executors
+            .values()
+            .filter(|at| at.running.keys().any(|(other, _)| *other == task))
+            .map(|at| &at.entry.id)
+            .collect()
+    }
+
+    /// Ends a run in a way, at its executor.
+    pub fn end_run(&mut self, task: TaskName, how: How) {
+        for executor in self.executors.values_mut() {
+            let run = executor.running.keys().find(|(other, _)| *other == task);
+            if let Some(key) = run.copied() {
+                executor.end(key, how);
+                note_failure(&mut self.failed, key, how);
+            }
+        }
+    }
+
+    /// Cuts an executor off, or lets it be reached again.
+    pub fn set_reachable(&mut self, id: &HostId, up: bool) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.up = up;
+        }
+        if up {
+            self.send(1, Message::Look(id.clone()));
+        }
+    }
+
+    pub fn shown(&self, id: u64) -> Option<Shown> {
+        self.director.shown(WorkflowId(id))
+    }
+
+    /// Lets so many milliseconds pass.
+    pub fn pass(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += STEP_MS;
+            self.advance();
+        }
+    }
+
+    fn advance(&mut self) {
+        self.finish_runs();
+        if self.rng.below(10_000) < self.faults.crash {
+            let at = self.rng.below(self.executors.len() as u64);
+            let id = self.executors.keys().nth(at as usize).cloned();
+            self.crash(&id.expect("an executor"));
+        }
+        if self.rng.below(10_000) < self.faults.takeover {
+            self.take_over();
+        }
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (epoch, message) = entry.remove();
+            self.deliver(epoch, message);
+        }
+        let mut actions = Vec::new();
+        let now = Millis(self.now);
+        self.director.tick(now, self.now, &mut actions);
+        self.director.place(now, &mut actions);
+        self.carry_out(actions);
+        if self.now % 50 == 0 {
+            let ids: Vec<HostId> = self.executors.keys().cloned().collect();
+            for id in ids {
+                self.send(1, Message::Look(id));
+            }
+        }
+    }
+
+    fn finish_runs(&mut self) {
+        for executor in self.executors.values_mut() {
+            let ready: Vec<_> = executor
+                .running
+                .iter()
+                .filter(|(_, run)| run.until <= self.now)
+                .map(|(key, run)| (*key, run.how))
+                .collect();
+            for (key, how) in ready {
+                executor.end(key, how);
+                note_failure(&mut self.failed, key, how);
+            }
+            if executor.lease < self.now {
+                let keys: Vec<_> = executor.running.keys().copied().collect();
+                for key in keys {
+                    executor.end(key, How::Lapsed);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, epoch: u64, message: Message) {
+        let now = Millis(self.now);
+        let current = epoch == self.epoch;
+        let mut actions = Vec::new();
+        match message {
+            Message::Start(order, answer, size, born) => {
+                if self.executors[&order.host].born == born {
+                    self.start(epoch, order, answer, size);
+                } else if answer > 0 {
+                    let key = (order.task, order.run);
+                    self.reply(
+                        epoch,
+                        1,
+                        Message::Result(order.host, key, StartResult::Unknown),
+                    );
+                }
+            }
+            Message::Stop(order, answer) => {
+                let executor = self.executors.get_mut(&order.host).expect("a known host");
+                if !executor.up || epoch < executor.fence {
+                    return;
+                }
+                executor.fence = executor.fence.max(epoch);
+                let key = (order.task, order.run);
+                if executor.running.contains_key(&key) {
+                    executor.end(key, How::Stopped);
+                } else {
+                    let refused = executor.refused.entry(key.0).or_default();
+                    *refused = (*refused).max(key.1);
+                }
+                if answer > 0 {
+                    self.reply(epoch, 1, Message::Stopped(order.host, key, epoch));
+                }
+            }
+            Message::Look(id) => {
+                let executor = self.executors.get_mut(&id).expect("a known host");
+                if !executor.up || epoch < executor.fence {
+                    return;
+                }
+                executor.fence = epoch;
+                executor.lease = executor.lease.max(self.now + LEASE_MS);
+                let look = Look {
+                    born: executor.born,
+                    sent: now,
+                    lease: Millis(self.now + LEASE_MS + 20),
+                    running: executor
+                        .running
+                        .keys()
+                        .map(|(task, run)| Running {
+                            task: *task,
+                            run: *run,
+                            saved: String::new(),
+                        })
+                        .collect(),
+                    ended: executor
+                        .ended
+                        .iter()
+                        .filter(|ended| ended.number > executor.forgotten)
+                        .cloned()
+                        .collect(),
+                };
+                self.reply(epoch, 1, Message::Saw(id, look));
+            }
+            Message::Forget(id, born, number) => {
+                let executor = self.executors.get_mut(&id).expect("a known host");
+                if executor.up && executor.born == born && epoch >= executor.fence {
+                    executor.forgotten = executor.forgotten.max(number);
+                    for ended in executor.ended.iter().filter(|end| end.number <= number) {
+                        if ended.how == How::Done {
+                            self.done.insert(ended.task);
+                        }
+                    }
+                }
+            }
+            Message::Written(number) if current => {
+                self.log.append(&mut self.unwritten);
+                self.director.written(number, &mut actions);
+            }
+            Message::Advice(step, hosts) if current => {
+                self.director.advised(step, &hosts, None, now);
+            }
+            Message::Result(id, key, result) if current => {
+                self.director
+                    .start_result(&id, key, result, now, &mut actions);
+            }
+            Message::Stopped(id, key, _) if current => {
+                self.director.stop_result(&id, key, now);
+            }
+            Message::Saw(id, look) if current => {
+                self.director.look(&id, &look, now, &mut actions);
+            }
+            _ => {}
+        }
+        self.carry_out(actions);
+    }
+
+    fn start(&mut self, epoch: u64, order: StartOrder, answer: u64, size: Resources) {
+        let key = (order.task, order.run);
+        let executor = self.executors.get_mut(&order.host).expect("a known host");
+        if !executor.up {
+            return;
+        }
+        let refusal = if epoch < executor.fence {
+            Some(Refusal::Fence)
+        } else if executor
+            .refused
+            .get(&key.0)
+            .is_some_and(|run| *run >= key.1)
+        {
+            Some(Refusal::Old)
+        } else {
+            None
+        };
+        executor.fence = executor.fence.max(epoch);
+        if refusal.is_none() && !executor.running.contains_key(&key) {
+            self.check(&order, size);
+            let failing = self.rng.chance(self.faults.failing);
+            let until = self.now + 100 + self.rng.below(500);
+            let lasts = self.spec(order.task).is_some_and(|spec| spec.long_running);
+            let executor = self.executors.get_mut(&order.host).expect("a known host");
+            executor.running.insert(
+                key,
+                Run {
+                    size,
+                    until: if lasts { u64::MAX } else { until },
+                    how: if failing { How::Failed } else { How::Done },
+                },
+            );
+            self.starts += 1;
+        }
+        if answer > 0 {
+            let result = refusal.map_or(StartResult::Started, StartResult::Refused);
+            self.reply(epoch, 1, Message::Result(order.host, key, result));
+        }
+    }
+
+    fn spec(&self, task: TaskName) -> Option<&StepSpec> {
+        self.flows
+            .iter()
+            .find(|flow| flow.id == task.step.job)
+            .and_then(|flow| flow.spec.steps.get(usize::from(task.step.step)))
+    }
+
+    /// Checks what must hold of every start.
+    fn check(&mut self, order: &StartOrder, size: Resources) {
+        let task = order.task;
+        let executor = &self.executors[&order.host];
+        if !(executor.used() + size).fits_in(&executor.entry.capacity) {
+            self.broken.push(format!(
+                "{}: {task} goes over the host's capacity",
+                self.now
+            ));
+        }
+        if !self.places(task).is_empty() {
+            self.broken
+                .push(format!("{}: {task} runs twice at a time", self.now));
+        }
+        let spec = self.spec(task).cloned().unwrap_or_default();
+        if self.done.contains(&task) && !spec.gang {
+            self.broken
+                .push(format!("{}: {task} starts after it was done", self.now));
+        }
+        for before in &spec.after {
+            let earlier = self.flows.iter().find(|flow| flow.id == task.step.job);
+            let count = earlier.map_or(0, |flow| flow.spec.steps[usize::from(*before)].count);
+            let gang = earlier.is_some_and(|flow| flow.spec.steps[usize::from(*before)].gang);
+            let ended = (0..count).filter(|index| {
+                let name = TaskName {
+                    step: StepId {
+                        step: *before,
+                        ..task.step
+                    },
+                    index: *index,
+                };
+                self.done.contains(&name) || self.is_ended_done(name)
+            });
+            let ended = ended.count();
+            let enough = if gang { 1 } else { count as usize };
+            if ended < enough {
+                self.broken
+                    .push(format!("{}: {task} starts before step {before}", self.now));
+            }
+        }
+        let attempts = self.rules.queues[&queue()].attempts as usize;
+        let failures = if spec.gang {
+            self.gang_failed.get(&task.step).map_or(0, BTreeSet::len)
+        } else {
+            self.failed.get(&task).map_or(0, BTreeSet::len)
+        };
+        if failures >= attempts && !spec.long_running {
+            self.broken.push(format!(
+                "{}: {task} starts after {failures} failures",
+                self.now
+            ));
+        }
+        let used: Resources = self.executors.values().map(Executor::used).sum();
+        let maximum = self.rules.teams[&team()].maximum;
+        if !(used + size).fits_in(&maximum) {
+            self.broken
+                .push(format!("{}: {task} goes over the team's limit", self.now));
+        }
+    }
+
+    fn is_ended_done(&self, name: TaskName) -> bool {
+        self.log.contains(&Record::Done(name))
+            || self.unwritten.contains(&Record::Done(name))
+            || self.executors.values().any(|executor| {
+                executor
+                    .ended
+                    .iter()
+                    .any(|ended| ended.task == name && ended.how == How::Done)
+            })
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Start(order) => {
+                    let size = self.spec(order.task).map_or(Resources::ZERO, |at| at.size);
+                    let born = self.executors[&order.host].born;
+                    if self.rng.chance(self.faults.late) {
+                        let key = (order.task, order.run);
+                        let host = order.host.clone();
+                        self.send(700, Message::Result(host, key, StartResult::Unknown));
+                        let delay = 100 + self.rng.below(2_000);
+                        self.send(delay, Message::Start(order, 0, size, born));
+                    } else {
+                        self.send(2, Message::Start(order, 1, size, born));
+                    }
+                }
+                Action::Stop(order) => {
+                    let late = self.rng.chance(self.faults.late);
+                    let delay = if late { 1_500 } else { 2 };
+                    self.send(delay, Message::Stop(order, u64::from(!late)));
+                }
+                Action::Advise { step, hosts, .. } => self.send(5, Message::Advice(step, hosts)),
+                Action::Record(record) => {
+                    self.unwritten.push(record);
+                    let number = self.director.records();
+                    self.send(30, Message::Written(number));
+                }
+                Action::Look { host } => self.send(1, Message::Look(host)),
+                Action::Forget { host, born, number } => {
+                    self.send(1, Message::Forget(host, born, number));
+                }
+            }
+        }
+    }
+}
+
+fn note_failure(
+    failed: &mut HashMap<TaskName, BTreeSet<u32>>,
+    (task, run): (TaskName, u32),
+    how: How,
+) {
+    if how == How::Failed {
+        failed.entry(task).or_default().insert(run);
+    }
+}
