Renew leases at once after a silence, and test gates as processes on a stand-in platform

Change: a look whose lease leaves under 3 s is followed at once by another; a host with less than 0.5 s of lease gets no work. Unlisted hosts with recorded runs are waited for 2.5 s after a takeover (entries are back within 2 s of an outage). Tests: the short lease on the core (failed first); eight tests with gates as separate processes on a stand-in for store and executors (whole way, cancel, killed owner, lost executor, busy store, lost answer, withdrawn key, SIGTERM).

--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -23,6 +23,10 @@
 /// there is listed sooner in most cases.
 const SETTLE_MS: u64 = 150;
 
+/// How long after a takeover hosts may be missing from the registry that are up, in milliseconds:
+/// their entries are back within two seconds of an outage of the store.
+const RELISTED_MS: u64 = 2_500;
+
 /// The settings of a director.
 #[derive(Debug, Clone)]
 pub struct DirectorSettings {
@@ -337,7 +341,16 @@
             return;
         }
         let waited = now.since(self.taken) >= self.settings.task_lease;
-        let asked = |host: &Host| host.known || host.silent || !host.listed;
+        // Entries that ended while the store was down are back soon after its return.
+        let back = now.since(self.taken).0 >= RELISTED_MS;
+        let asked = |host: &Host| {
+            host.known
+                || if host.listed {
+                    host.silent
+                } else {
+                    back || host.claims.is_empty()
+                }
+        };
         let any = self.hosts.values().any(|host| host.listed);
         self.trusted = waited || (any && self.hosts.values().all(asked));
         self.dirty |= self.trusted;
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -33,11 +33,12 @@
             host.seen = 0;
         }
         host.born = look.born;
+        let took = host.takes_work(now);
         host.lease = host.lease.max(look.lease);
         host.heard = now;
         let first = !host.known;
         host.known = true;
-        self.dirty |= first;
+        self.dirty |= first || took != host.takes_work(now);
         for ended in &look.ended {
             self.take_end(id, ended, now, out);
         }
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -9,6 +9,10 @@
 /// Failed runs of different jobs in a row after which a host gets no more work for a while.
 const FAILURES: u32 = 3;
 
+/// How much of its task lease a host needs to get more work, in milliseconds: its tasks would end
+/// before the next call.
+const LEASE_LEFT_MS: u64 = 500;
+
 /// The first time without work after too many failures, in milliseconds; it doubles up to
 /// [`REST_MOST_MS`].
 const REST_MS: u64 = 1_000;
@@ -151,7 +155,8 @@
 
     /// Returns whether the host may get new work.
     pub fn takes_work(&self, now: Millis) -> bool {
-        self.listed && self.known && !self.entry.draining && self.rests <= now
+        let held = self.lease > now + Millis(LEASE_LEFT_MS);
+        self.listed && self.known && held && !self.entry.draining && self.rests <= now
     }
 
     /// Takes room for a run.
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -2,8 +2,14 @@
 
 mod world;
 
+use std::sync::Arc;
+
+use wigeongate_core::ids::HostId;
 use wigeongate_core::resources::Resources;
-use wigeongate_core::workflow::{How, Shown, StepId, StepSpec, TaskName, WorkflowId};
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, Director, DirectorSettings, How, Look, Shown, StepId, StepSpec, TaskName, WorkflowId,
+};
 
 use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
 
@@ -183,6 +189,34 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+#[test]
+fn a_host_whose_lease_is_about_to_end_gets_no_work() {
+    let now = Millis(10_000);
+    let mut director = Director::new(DirectorSettings::default(), now);
+    director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+    director.list(host(0, 8 * CORE), now);
+    let id = HostId::from("w-0");
+    let mut actions = Vec::new();
+    let look = |left| Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(left),
+        ..Look::default()
+    };
+    director.look(&id, &look(100), now, &mut actions);
+    director.submit(flow(5, vec![step(1, CORE)], None), now, Millis::ZERO);
+    director.place(now, &mut actions);
+    assert_eq!(starts(&actions), 0);
+    director.look(&id, &look(3_000), now, &mut actions);
+    director.place(now, &mut actions);
+    assert_eq!(starts(&actions), 1);
+}
+
+fn starts(actions: &[Action]) -> usize {
+    let is_start = |action: &&Action| matches!(action, Action::Start(_));
+    actions.iter().filter(is_start).count()
+}
+
 #[test]
 fn random_days_break_no_rule() {
     struct Day {
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -186,9 +186,10 @@
             match self.look(wait_ms).await {
                 Some(last) => {
                     self.wait_written(last).await;
-                    // The first answer told the clock; the second call gives the lease.
-                    let first = locked(&self.times).deadline == 0;
-                    wait_ms = if first { 0 } else { WAIT_MS };
+                    // After the first answer, and after a silence, only the next call prolongs the
+                    // leases, and its own answer has to tell so at once.
+                    let left = locked(&self.times).lease().since(self.shared.now()).0;
+                    wait_ms = if left < 2 * WAIT_MS { 0 } else { WAIT_MS };
                 }
                 None => sleep(Duration::from_millis(PAUSE_MS)).await,
             }
--- /dev/null
+++ b/wigeongate/tests/entry/main.rs
@@ -0,0 +1,351 @@
+//! Gates as separate processes on a stand-in for the users' platform.
+
+mod platform;
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use wigeongate::client::client_trusting_system;
+
+use self::platform::{Platform, Trouble};
+
+/// A test that waits longer hangs.
+const HANG: Duration = Duration::from_mins(1);
+
+const KEY: &str = "key-1";
+
+struct Gate {
+    process: Child,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Gate {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+impl Gate {
+    async fn start(platform: &Platform, name: &str) -> Self {
+        let (callers, ready) = (port(), port());
+        let text = format!(
+            "gate: {name}\nzone: a\ncallers: {callers}\nready: {ready}\npeer: {}\nmetrics: {}\n\
+             store: {}\nbounds:\n  task_lease_ms: 2000\n  grace_s: 6\n",
+            port(),
+            port(),
+            platform.address,
+        );
+        let file = format!("wigeongate-{}-{}.yaml", std::process::id(), callers.port());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text).expect("settings are written");
+        let process = Command::new(env!("CARGO_BIN_EXE_wigeongate"))
+            .args(["--log-format", "json", "serve", "--settings"])
+            .arg(&settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the gate starts");
+        let gate = Self {
+            process,
+            callers,
+            ready,
+            settings,
+        };
+        gate.until_ready().await;
+        gate
+    }
+
+    async fn until_ready(&self) {
+        let url = format!("http://{}/api/ready", self.ready);
+        until("the gate is ready", async || {
+            let answer = client_trusting_system().get(&url).send().await.ok()?;
+            (answer.status() == 200).then_some(())
+        })
+        .await;
+    }
+
+    /// Makes a call; returns the status, when to come back, and the body.
+    async fn call(&self, method: &str, path: &str, key: &str, body: &Value) -> Answer {
+        let client = client_trusting_system();
+        let method = reqwest::Method::from_bytes(method.as_bytes()).expect("a method");
+        let sent = client
+            .request(method, format!("http://{}{path}", self.callers))
+            .header("Host", "desk.example")
+            .header("Authorization", format!("Token {key}"))
+            .body(body.to_string())
+            .timeout(Duration::from_secs(10))
+            .send()
+            .await;
+        let Ok(answer) = sent else {
+            return Answer::default();
+        };
+        Answer {
+            status: answer.status().as_u16(),
+            come_back: answer.headers().contains_key("Retry-After"),
+            body: answer.text().await.unwrap_or_default(),
+        }
+    }
+
+    async fn submit(&self, id: &str, tasks: u32, runs_ms: u32) -> Answer {
+        let job = json!({
+            "spec": runs_ms.to_string(),
+            "steps": [{ "count": tasks, "cpu": 500, "mem_mb": 64, "estimate_ms": runs_ms }],
+        });
+        self.call("POST", &format!("/q/{id}"), KEY, &job).await
+    }
+
+    async fn until_state(&self, id: &str, state: &str) {
+        let shown = format!("{{\"state\":\"{state}\"}}");
+        until(state, async || {
+            let answer = self
+                .call("GET", &format!("/q/{id}"), KEY, &Value::Null)
+                .await;
+            (answer.body == shown).then_some(())
+        })
+        .await;
+    }
+
+    fn signal(&self, signal: nix::sys::signal::Signal) {
+        let id = i32::try_from(self.process.id()).expect("a process id");
+        nix::sys::signal::kill(nix::unistd::Pid::from_raw(id), signal).expect("a signal");
+    }
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Answer {
+    status: u16,
+    come_back: bool,
+    body: String,
+}
+
+async fn until<T>(what: &str, mut look: impl AsyncFnMut() -> Option<T>) -> T {
+    let begun = Instant::now();
+    loop {
+        if let Some(found) = look().await {
+            return found;
+        }
+        assert!(begun.elapsed() < HANG, "{what}: not in time");
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+}
+
+async fn deployment(executors: usize, gates: usize) -> (Platform, Vec<Gate>) {
+    let platform = Platform::start(executors).await;
+    platform.configure(1, &[KEY]);
+    let mut all = Vec::new();
+    for at in 0..gates {
+        all.push(Gate::start(&platform, &format!("gate-{at}")).await);
+    }
+    (platform, all)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_goes_the_whole_way() {
+    let (platform, gates) = deployment(2, 2).await;
+    let id = "00000000000000a1";
+    assert_eq!(gates[0].submit(id, 3, 100).await.status, 200);
+    // A retry at another gate is the same job.
+    assert_eq!(gates[1].submit(id, 3, 100).await.status, 200);
+    gates[1].until_state(id, "completed").await;
+    assert_eq!(platform.starts(id).len(), 3);
+
+    struct Case {
+        name: &'static str,
+        method: &'static str,
+        path: &'static str,
+        key: &'static str,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "a job that nobody handed in",
+            method: "GET",
+            path: "/q/00000000000000ff",
+            key: KEY,
+            status: 410,
+        },
+        Case {
+            name: "cancelling a job that nobody handed in",
+            method: "DELETE",
+            path: "/q/00000000000000ff",
+            key: KEY,
+            status: 410,
+        },
+        Case {
+            name: "an unknown key",
+            method: "GET",
+            path: "/q/00000000000000a1",
+            key: "key-2",
+            status: 401,
+        },
+        Case {
+            name: "an unknown queue",
+            method: "GET",
+            path: "/other/00000000000000a1",
+            key: KEY,
+            status: 404,
+        },
+        Case {
+            name: "a body that is no job",
+            method: "POST",
+            path: "/q/00000000000000a2",
+            key: KEY,
+            status: 400,
+        },
+        Case {
+            name: "how many jobs wait",
+            method: "GET",
+            path: "/q/",
+            key: KEY,
+            status: 200,
+        },
+    ];
+    for case in cases {
+        let answer = gates[0]
+            .call(case.method, case.path, case.key, &Value::Null)
+            .await;
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_job_stops() {
+    let (platform, gates) = deployment(1, 1).await;
+    let id = "00000000000000b1";
+    assert_eq!(gates[0].submit(id, 1, 50_000).await.status, 200);
+    until("the task starts", async || {
+        (platform.starts(id).len() == 1).then_some(())
+    })
+    .await;
+    let path = format!("/q/{id}");
+    let answer = gates[0].call("DELETE", &path, KEY, &Value::Null).await;
+    assert_eq!(answer.status, 200);
+    gates[0].until_state(id, "cancelled").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_owner_is_replaced_and_nothing_runs_twice() {
+    let (platform, mut gates) = deployment(2, 2).await;
+    for at in 0..20 {
+        let id = format!("{:016x}", 0xc00 + at);
+        assert_eq!(gates[1].submit(&id, 2, 300).await.status, 200);
+    }
+    // The first gate became the owner, since it was alone.
+    drop(gates.remove(0));
+    for at in 0..20 {
+        let id = format!("{:016x}", 0xc00 + at);
+        gates[0].until_state(&id, "completed").await;
+        let mut tasks: Vec<String> = platform
+            .starts(&id)
+            .into_iter()
+            .map(|run| run.task)
+            .collect();
+        tasks.sort();
+        tasks.dedup();
+        assert_eq!(
+            tasks.len(),
+            platform.starts(&id).len(),
+            "{id} ran a task twice"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_executor_that_is_gone_gives_its_tasks_back() {
+    let (mut platform, gates) = deployment(2, 1).await;
+    let id = "00000000000000d1";
+    assert_eq!(gates[0].submit(id, 1, 1_000).await.status, 200);
+    let first = until("the task starts", async || platform.starts(id).pop()).await;
+    platform.end_executor(&first.host);
+    let next = until("the task starts again", async || {
+        platform
+            .starts(id)
+            .into_iter()
+            .find(|run| run.host != first.host)
+    })
+    .await;
+    assert!(next.run > first.run);
+    gates[0].until_state(id, "completed").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_busy_store_refuses_jobs_and_keys_with_a_time_to_come_back() {
+    let (platform, gates) = deployment(1, 1).await;
+    platform.store.set(Trouble::Busy);
+    let answer = gates[0].submit("00000000000000e1", 1, 100).await;
+    assert_eq!((answer.status, answer.come_back), (503, true));
+    // Nothing proves that keys are current any longer.
+    until("keys are refused", async || {
+        let answer = gates[0].call("GET", "/q/", KEY, &Value::Null).await;
+        (answer.status == 503 && answer.come_back).then_some(())
+    })
+    .await;
+    platform.store.set(Trouble::None);
+    until("keys are let through again", async || {
+        let answer = gates[0].call("GET", "/q/", KEY, &Value::Null).await;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    // What was refused never ran.
+    assert!(platform.starts("00000000000000e1").is_empty());
+    assert_eq!(platform.store.count("wigeongate/job/"), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_without_an_answer_is_one_job() {
+    let (platform, gates) = deployment(1, 1).await;
+    let id = "00000000000000f1";
+    platform.store.set(Trouble::LosesAnswers);
+    // The gate looks whether the job is stored before it answers.
+    assert_eq!(gates[0].submit(id, 1, 100).await.status, 200);
+    platform.store.set(Trouble::None);
+    assert_eq!(gates[0].submit(id, 1, 100).await.status, 200);
+    gates[0].until_state(id, "completed").await;
+    assert_eq!(platform.starts(id).len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_is_refused_and_foreign_entries_are_left_alone() {
+    let (platform, gates) = deployment(1, 1).await;
+    platform
+        .store
+        .write("servers/odd", &json!({ "service": 5 }));
+    platform.store.write("servers/odd-2", &json!(["x"]));
+    platform.configure(2, &["key-9"]);
+    until("the key is refused", async || {
+        let answer = gates[0].call("GET", "/q/", KEY, &Value::Null).await;
+        (answer.status == 401).then_some(())
+    })
+    .await;
+    // An older configuration does not come back.
+    platform.configure(1, &[KEY]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = gates[0].call("GET", "/q/", KEY, &Value::Null).await;
+    assert_eq!(answer.status, 401);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stopped_owner_hands_over_and_ends_by_itself() {
+    let (platform, mut gates) = deployment(1, 2).await;
+    let id = "0000000000000101";
+    assert_eq!(gates[1].submit(id, 1, 1_500).await.status, 200);
+    gates[0].signal(nix::sys::signal::Signal::SIGTERM);
+    gates[1].until_state(id, "completed").await;
+    assert_eq!(platform.starts(id).len(), 1);
+    let ended = until("the stopped gate ends", async || {
+        gates[0].process.try_wait().expect("a status")
+    })
+    .await;
+    assert!(ended.success());
+}
--- /dev/null
+++ b/wigeongate/tests/entry/platform.rs
@@ -0,0 +1,603 @@
+//! A stand-in for the users' platform: the store, executors and the advice service over HTTP.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use warp::Filter;
+use warp::http::{Response, StatusCode};
+
+type Reply = Response<Vec<u8>>;
+
+fn reply(status: u16, body: &Value) -> Reply {
+    let mut reply = Response::new(body.to_string().into_bytes());
+    *reply.status_mut() = StatusCode::from_u16(status).expect("a status");
+    reply
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    value: Vec<u8>,
+    revision: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    revision: u64,
+    entries: BTreeMap<String, Entry>,
+    history: Vec<(u64, String, Option<Entry>)>,
+    leases: HashMap<u64, (Instant, u64)>,
+}
+
+impl Data {
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (until, _))| *until < now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        let entry = Entry {
+            value,
+            revision: self.revision,
+            lease,
+        };
+        self.entries.insert(key.to_owned(), entry.clone());
+        self.history
+            .push((self.revision, key.to_owned(), Some(entry)));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.history.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    fn item(key: &str, entry: &Entry) -> Value {
+        json!({
+            "key": key,
+            "value": STANDARD.encode(&entry.value),
+            "revision": entry.revision,
+            "lease": entry.lease,
+        })
+    }
+}
+
+/// What the store does wrong.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers every call with 503.
+    Busy,
+    /// It carries out writes of jobs and does not answer them.
+    LosesAnswers,
+}
+
+/// A run that was ordered, as the executors saw it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Started {
+    pub task: String,
+    pub run: u64,
+    pub host: String,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Store {
+    data: Mutex<Data>,
+    changed: Notify,
+    trouble: Mutex<Trouble>,
+}
+
+impl Store {
+    pub fn set(&self, trouble: Trouble) {
+        *locked(&self.trouble) = trouble;
+    }
+
+    /// Writes a key as the operators and executors do.
+    pub fn write(&self, key: &str, value: &Value) {
+        let mut data = locked(&self.data);
+        data.revision += 1;
+        data.put(key, value.to_string().into_bytes(), 0);
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes a key as the registry does.
+    pub fn erase(&self, key: &str) {
+        let mut data = locked(&self.data);
+        data.revision += 1;
+        data.remove(key);
+        drop(data);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns how many keys have a prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let data = locked(&self.data);
+        let keys = data.entries.keys();
+        keys.filter(|key| key.starts_with(prefix)).count()
+    }
+
+    async fn answer(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Reply {
+        let trouble = *locked(&self.trouble);
+        if trouble == Trouble::Busy {
+            return reply(503, &json!({}));
+        }
+        locked(&self.data).expire();
+        let query: HashMap<String, String> = form(query);
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        match (method, path) {
+            ("GET", "/api/kv-key") => self.get(&query),
+            ("GET", "/api/kv-range") => self.range(&query),
+            ("GET", "/api/kv-watch") => self.watch(&query).await,
+            ("POST", "/api/kv-txn") => {
+                let answer = self.commit(&body);
+                if trouble == Trouble::LosesAnswers && body.to_string().contains("/job/") {
+                    tokio::time::sleep(Duration::from_mins(1)).await;
+                }
+                answer
+            }
+            ("POST", "/api/kv-lease") => {
+                let mut data = locked(&self.data);
+                let ttl = body["ttl_ms"].as_u64().unwrap_or(1_000);
+                data.revision += 1;
+                let lease = data.revision;
+                let until = Instant::now() + Duration::from_millis(ttl);
+                data.leases.insert(lease, (until, ttl));
+                reply(200, &json!({ "lease": lease, "ttl_ms": ttl }))
+            }
+            _ => self.lease_call(method, path),
+        }
+    }
+
+    fn get(&self, query: &HashMap<String, String>) -> Reply {
+        let data = locked(&self.data);
+        let key = &query["key"];
+        match data.entries.get(key) {
+            Some(entry) => reply(200, &Data::item(key, entry)),
+            None => reply(404, &json!({})),
+        }
+    }
+
+    fn range(&self, query: &HashMap<String, String>) -> Reply {
+        let data = locked(&self.data);
+        let prefix = &query["prefix"];
+        let after = query.get("after").cloned().unwrap_or_default();
+        let found: Vec<Value> = data
+            .entries
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix) && **key > after)
+            .map(|(key, entry)| Data::item(key, entry))
+            .collect();
+        let page: Vec<&Value> = found.iter().take(500).collect();
+        reply(
+            200,
+            &json!({
+                "items": page,
+                "more_pages": found.len() > 500,
+                "current_rev": data.revision,
+            }),
+        )
+    }
+
+    async fn watch(&self, query: &HashMap<String, String>) -> Reply {
+        let prefix = &query["prefix"];
+        let after: u64 = query["after"].parse().expect("a revision");
+        let wait: u64 = query["wait_ms"].parse().expect("a time");
+        let until = Instant::now() + Duration::from_millis(wait);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let mut data = locked(&self.data);
+                data.expire();
+                let events: Vec<Value> = data
+                    .history
+                    .iter()
+                    .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                    .map(|(revision, key, entry)| match entry {
+                        Some(entry) => Data::item(key, entry),
+                        None => json!({ "key": key, "revision": revision, "removed": true }),
+                    })
+                    .collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    return reply(
+                        200,
+                        &json!({ "events": events, "current_rev": data.revision }),
+                    );
+                }
+            }
+            let _ = timeout(Duration::from_millis(20), changed).await;
+        }
+    }
+
+    fn commit(&self, body: &Value) -> Reply {
+        let empty = Vec::new();
+        let rows = |name: &str| body[name].as_array().unwrap_or(&empty).clone();
+        let mut data = locked(&self.data);
+        let mut held = true;
+        let mut items = Vec::new();
+        for row in rows("expected_rev") {
+            let key = row["key"].as_str().expect("a key");
+            let revision = data.entries.get(key).map_or(0, |entry| entry.revision);
+            held &= row["revision"].as_u64() == Some(revision);
+            items.push(match data.entries.get(key) {
+                Some(entry) => Data::item(key, entry),
+                None => json!({ "key": key, "revision": 0 }),
+            });
+        }
+        if !held {
+            return reply(412, &json!({ "items": items }));
+        }
+        for row in rows("puts") {
+            let lease = row["lease"].as_u64().unwrap_or(0);
+            if lease > 0 && !data.leases.contains_key(&lease) {
+                return reply(404, &json!({}));
+            }
+        }
+        data.revision += 1;
+        for row in rows("puts") {
+            let key = row["key"].as_str().expect("a key");
+            let value = STANDARD.decode(row["value"].as_str().expect("text"));
+            let lease = row["lease"].as_u64().unwrap_or(0);
+            data.put(key, value.expect("base64"), lease);
+        }
+        for key in rows("remove") {
+            data.remove(key.as_str().expect("a key"));
+        }
+        let revision = data.revision;
+        drop(data);
+        self.changed.notify_waiters();
+        reply(200, &json!({ "revision": revision }))
+    }
+
+    fn lease_call(&self, method: &str, path: &str) -> Reply {
+        let mut data = locked(&self.data);
+        let id: u64 = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0);
+        if method == "DELETE" {
+            data.end_lease(id);
+            drop(data);
+            self.changed.notify_waiters();
+            return reply(200, &json!({}));
+        }
+        match data.leases.get_mut(&id) {
+            Some((until, ttl)) => {
+                *until = Instant::now() + Duration::from_millis(*ttl);
+                reply(200, &json!({ "ttl_ms": *ttl }))
+            }
+            None => reply(404, &json!({})),
+        }
+    }
+}
+
+fn form(query: &str) -> HashMap<String, String> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), value.to_owned()))
+        .collect()
+}
+
+#[derive(Debug, Default)]
+struct Boot {
+    fence: u64,
+    running: BTreeMap<(String, u64), Instant>,
+    refused: HashMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    ends: u64,
+    lease: u64,
+}
+
+/// An executor whose tasks run as many milliseconds as their command says.
+#[derive(Debug)]
+pub struct Executor {
+    id: String,
+    begun: Instant,
+    boot: Mutex<Boot>,
+    started: Arc<Mutex<Vec<Started>>>,
+    gone: Arc<AtomicBool>,
+}
+
+impl Executor {
+    fn clock(&self) -> u64 {
+        1_000 + u64::try_from(self.begun.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn finish(&self) {
+        let clock = self.clock();
+        let mut boot = locked(&self.boot);
+        let lapsed = boot.lease < clock;
+        let over: Vec<_> = boot
+            .running
+            .iter()
+            .filter(|(_, until)| lapsed || **until <= Instant::now())
+            .map(|(key, until)| (key.clone(), *until <= Instant::now()))
+            .collect();
+        for ((task, run), done) in over {
+            boot.end(task, run, if done { "done" } else { "lapsed" });
+        }
+    }
+
+    async fn answer(&self, path: &str, body: &[u8]) -> Reply {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        self.finish();
+        let fence = body["fence"].as_u64().unwrap_or(0);
+        {
+            let mut boot = locked(&self.boot);
+            if fence < boot.fence {
+                let answer = json!({ "clock_ms": self.clock(), "reason": "fence" });
+                return reply(409, &answer);
+            }
+            boot.fence = fence;
+        }
+        match path {
+            "/api/run-start" => self.start(&body),
+            "/api/run-stop" => {
+                let mut boot = locked(&self.boot);
+                let task = body["task"].as_str().expect("a task").to_owned();
+                let run = body["run"].as_u64().expect("a run");
+                if boot.running.contains_key(&(task.clone(), run)) {
+                    boot.end(task, run, "stopped");
+                } else {
+                    let refused = boot.refused.entry(task).or_default();
+                    *refused = (*refused).max(run);
+                }
+                reply(200, &json!({ "clock_ms": self.clock() }))
+            }
+            _ => self.look(&body).await,
+        }
+    }
+
+    fn start(&self, body: &Value) -> Reply {
+        let task = body["task"].as_str().expect("a task").to_owned();
+        let run = body["run"].as_u64().expect("a run");
+        let runs_ms = body["spec"].as_str().and_then(|text| text.parse().ok());
+        let mut boot = locked(&self.boot);
+        let clock = self.clock();
+        let reason = if body["deadline_ms"]
+            .as_u64()
+            .is_none_or(|until| until < clock)
+        {
+            Some("late")
+        } else if boot.refused.get(&task).is_some_and(|last| *last >= run) {
+            Some("old")
+        } else {
+            None
+        };
+        if let Some(reason) = reason {
+            return reply(409, &json!({ "clock_ms": clock, "reason": reason }));
+        }
+        let until = Instant::now() + Duration::from_millis(runs_ms.unwrap_or(100));
+        if boot.running.insert((task.clone(), run), until).is_none() {
+            locked(&self.started).push(Started {
+                task,
+                run,
+                host: self.id.clone(),
+            });
+        }
+        reply(200, &json!({ "clock_ms": clock }))
+    }
+
+    async fn look(&self, body: &Value) -> Reply {
+        let seen = body["last_seen"].as_u64().unwrap_or(0);
+        let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
+        if let Some(deadline) = body["deadline_ms"].as_u64() {
+            let mut boot = locked(&self.boot);
+            boot.lease = boot.lease.max(deadline);
+        }
+        let begun = Instant::now();
+        loop {
+            self.finish();
+            {
+                let mut boot = locked(&self.boot);
+                boot.ended.retain(|(number, ..)| *number > seen);
+                if !boot.ended.is_empty() || begun.elapsed() >= wait {
+                    return reply(200, &self.lists(&boot));
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn lists(&self, boot: &Boot) -> Value {
+        let running: Vec<Value> = boot
+            .running
+            .keys()
+            .map(|(task, run)| json!([task, run, "", 100]))
+            .collect();
+        let ended: Vec<Value> = boot
+            .ended
+            .iter()
+            .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
+            .collect();
+        json!({
+            "clock_ms": self.clock(),
+            "born": 7,
+            "running": running,
+            "ended": ended,
+        })
+    }
+}
+
+impl Boot {
+    fn end(&mut self, task: String, run: u64, how: &'static str) {
+        self.running.remove(&(task.clone(), run));
+        let refused = self.refused.entry(task.clone()).or_default();
+        *refused = (*refused).max(run);
+        self.ends += 1;
+        self.ended.push((self.ends, task, run, how));
+    }
+}
+
+/// The platform: a store, executors and the list of what they started.
+pub struct Platform {
+    pub store: Arc<Store>,
+    pub address: SocketAddr,
+    pub started: Arc<Mutex<Vec<Started>>>,
+    servers: HashMap<String, JoinHandle<()>>,
+    gone: HashMap<String, Arc<AtomicBool>>,
+}
+
+impl Platform {
+    /// Starts a platform with so many executors of one service.
+    pub async fn start(executors: usize) -> Self {
+        let store = Arc::new(Store::default());
+        let serving = Arc::clone(&store);
+        let (address, server) = serve(move |method, path, query, body| {
+            let store = Arc::clone(&serving);
+            async move { store.answer(&method, &path, &query, &body).await }
+        })
+        .await;
+        let mut platform = Self {
+            store,
+            address,
+            started: Arc::default(),
+            servers: HashMap::from([("store".to_owned(), server)]),
+            gone: HashMap::new(),
+        };
+        for at in 0..executors {
+            platform.add_executor(&format!("w-{at}")).await;
+        }
+        platform
+    }
+
+    async fn add_executor(&mut self, id: &str) {
+        let gone = Arc::new(AtomicBool::new(false));
+        let executor = Arc::new(Executor {
+            id: id.to_owned(),
+            begun: Instant::now(),
+            boot: Mutex::default(),
+            started: Arc::clone(&self.started),
+            gone: Arc::clone(&gone),
+        });
+        self.gone.insert(id.to_owned(), gone);
+        let (address, server) = serve(move |_, path, _, body| {
+            let executor = Arc::clone(&executor);
+            async move {
+                if executor.gone.load(Ordering::Relaxed) {
+                    std::future::pending::<()>().await;
+                }
+                executor.answer(&path, &body).await
+            }
+        })
+        .await;
+        self.store.write(
+            &format!("servers/{id}"),
+            &json!({
+                "service": "desk", "address": address.to_string(), "zone": "a",
+                "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+                "capacity": { "cpu": 8000, "mem_mb": 16000, "gpu": 0 },
+                "labels": ["kind-a", "rack-1"], "born": 7, "seq": 1,
+            }),
+        );
+        self.servers.insert(id.to_owned(), server);
+    }
+
+    /// Ends an executor for good; its entry goes too.
+    pub fn end_executor(&mut self, id: &str) {
+        if let Some(gone) = self.gone.get(id) {
+            gone.store(true, Ordering::Relaxed);
+        }
+        if let Some(server) = self.servers.remove(id) {
+            server.abort();
+        }
+        self.store.erase(&format!("servers/{id}"));
+    }
+
+    /// Returns the starts of a job, as the executors saw them.
+    pub fn starts(&self, job: &str) -> Vec<Started> {
+        let started = locked(&self.started);
+        let of_job = started.iter().filter(|run| run.task.starts_with(job));
+        of_job.cloned().collect()
+    }
+
+    /// Puts a configuration in force with one queue and the keys of one team.
+    pub fn configure(&self, version: u64, keys: &[&str]) {
+        self.store.write(
+            "op/config",
+            &json!({
+                "version": version,
+                "routes": [{
+                    "name": "q", "host": "desk.example", "prefix": "/q/", "service": "desk",
+                    "kind": "unsafe", "priority": 1, "max_attempts": 3, "stretch": 2.0,
+                    "target_latency_ms": 500, "public": false,
+                }],
+                "services": [{ "name": "desk", "health_path": "/health" }],
+                "limits": { "max_body_bytes": 10_000 },
+                "tenants": [{
+                    "name": "branch", "api_keys": keys, "weight": 10,
+                    "maximum": { "cpu": 0, "mem_mb": 0, "gpu": 0 },
+                }],
+            }),
+        );
+    }
+}
+
+async fn serve<F, A>(answer: F) -> (SocketAddr, JoinHandle<()>)
+where
+    F: Fn(String, String, String, Vec<u8>) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Reply> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let query =
+        warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
+    let route = warp::method()
+        .and(warp::path::full())
+        .and(query)
+        .and(warp::body::bytes())
+        .then(
+            move |method: warp::http::Method,
+                  path: warp::path::FullPath,
+                  query: String,
+                  body: bytes::Bytes| {
+                let path = path.as_str().to_owned();
+                answer(method.to_string(), path, query, body.to_vec())
+            },
+        );
+    let server = tokio::spawn(warp::serve(route).incoming(listener).run());
+    (address, server)
+}
