--- a/wigeongate/src/logs.rs
+++ b/wigeongate/src/logs.rs
@@ -1,6 +1,6 @@
-//! Structured logs on standard output.
+//! Structured logs that never delay a request.
 
-use std::io::{IsTerminal, stdout};
+use std::io::{IsTerminal, Write, stderr, stdout};
 
 use derive_more::{Display, FromStr};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
@@ -24,19 +24,32 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stream {
+    /// Standard output, for a daemon.
+    Output,
+    /// Standard error, where standard output holds the command's result.
+    Error,
+}
+
 /// Starts logging; the environment variable `RUST_LOG` sets the filter.
 ///
 /// The last lines are written when the guard is dropped.
-pub fn init(format: Format) -> WorkerGuard {
+pub fn init(format: Format, stream: Stream) -> WorkerGuard {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new(FILTER));
     let plain = std::env::var_os("NO_COLOR").is_some_and(|value| !value.is_empty());
+    let (sink, terminal): (Box<dyn Write + Send>, bool) = match stream {
+        Stream::Output => (Box::new(stdout()), stdout().is_terminal()),
+        Stream::Error => (Box::new(stderr()), stderr().is_terminal()),
+    };
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(QUEUE_LINES)
         .lossy(true)
-        .finish(stdout());
+        .finish(sink);
     let builder = tracing_subscriber::fmt()
         .with_env_filter(filter)
-        .with_ansi(stdout().is_terminal() && !plain)
+        .with_ansi(terminal && !plain)
         .with_target(false)
         .with_writer(writer);
     match format {
--- a/wigeongate/src/main.rs
+++ b/wigeongate/src/main.rs
@@ -11,7 +11,7 @@
 use wigeongate::cli::{self, Command};
 use wigeongate::dev::{self, Dev};
 use wigeongate::gate::Gate;
-use wigeongate::logs;
+use wigeongate::logs::{self, Stream};
 use wigeongate_config::entry::EntrySettings;
 use wigeongate_config::load::{self, Mistakes};
 use wigeongate_config::settings::Settings;
@@ -22,7 +22,11 @@
         Ok(options) => options,
         Err(code) => return code,
     };
-    let _logs = logs::init(options.log_format);
+    let stream = match options.command {
+        Command::Dev(_) => Stream::Error,
+        _ => Stream::Output,
+    };
+    let _logs = logs::init(options.log_format, stream);
     let result = match options.command {
         Command::Check { files } => return check(&files),
         // An entry host has a quarter of a core: one thread serves everything.
