Leave gates free for short questions, keep runs of unknown jobs in mind, split the owner

(2) An owner turned away by the store went on taking jobs past its lease; the new owner, on finding such a run before the job, forgot it and would have started the job again.

Change: questions over 0.2 s go to 60% of the gates; runs of jobs that are not known yet are given to them when they are; past its lease an owner takes no new jobs. The log's writing is a module of its own and ends with its owner; refusals of acceptance name the job. Tests for both on the core.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -3,6 +3,7 @@
 //! A [`Director`] holds the fleet of a deployment. It takes events with a time and returns
 //! actions; the same events give the same actions.
 
+mod advice_gates;
 mod advise;
 mod director;
 mod ends;
@@ -15,6 +16,7 @@
 mod rules;
 mod spec;
 
+pub use advice_gates::AdviceGates;
 pub use director::{Director, DirectorSettings};
 pub use message::{
     Action, Advice, Ended, How, Look, Refusal, Running, StartOrder, StartResult, StopOrder,
--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -79,6 +79,8 @@
     pub(super) taken: Millis,
     /// Runs that the log names, with their hosts, while it is read.
     pub(super) earlier: HashMap<RunKey, HostId>,
+    /// Runs of jobs that are not known yet, with their hosts.
+    pub(super) strays: HashMap<WorkflowId, Vec<(HostId, RunKey)>>,
     /// The number of the newest record.
     pub(super) records: u64,
     /// The number of the newest record that was written.
@@ -160,6 +162,9 @@
         let rules = self.queues.get(&flow.queue).cloned().unwrap_or_default();
         let job = Job::new(flow, &rules, now, age);
         self.jobs.insert(id, job);
+        for (host, run) in self.strays.remove(&id).unwrap_or_default() {
+            self.attach(&host, run, now);
+        }
         self.advance(id, now, &mut Vec::new());
         true
     }
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -163,8 +163,24 @@
                 },
             );
         }
+        self.attach(id, key, now);
+    }
+
+    /// Gives a run that takes room on a host to its task.
+    pub(super) fn attach(&mut self, id: &HostId, key: RunKey, now: Millis) {
         let (name, run) = key;
+        let Some(size) = self
+            .hosts
+            .get(id)
+            .and_then(|host| host.claims.get(&key))
+            .map(|claim| claim.size)
+        else {
+            return;
+        };
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
+            // An owner that did not know yet that it was replaced may have started it.
+            let strays = self.strays.entry(name.step.job).or_default();
+            strays.push((id.clone(), key));
             return;
         };
         job.started = true;
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -4,11 +4,12 @@
 
 use std::sync::Arc;
 
-use wigeongate_core::ids::HostId;
+use wigeongate_core::ids::{GateId, HostId};
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Director, DirectorSettings, How, Look, Shown, StepId, StepSpec, TaskName, WorkflowId,
+    Action, AdviceGates, Director, DirectorSettings, How, Look, Running, Shown, StepId, StepSpec,
+    TaskName, WorkflowId,
 };
 
 use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
@@ -217,6 +218,97 @@
     actions.iter().filter(is_start).count()
 }
 
+#[test]
+fn a_run_of_a_job_that_is_not_known_yet_is_kept_in_mind() {
+    // An owner that did not know that it was replaced started a job whose acceptance the new
+    // owner hears of later.
+    let now = Millis(10_000);
+    let mut director = Director::new(DirectorSettings::default(), now);
+    director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+    director.list(host(0, 8 * CORE), now);
+    director.list(host(1, 8 * CORE), now);
+    let mut actions = Vec::new();
+    let look = |running| Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(3_000),
+        running,
+        ..Look::default()
+    };
+    let running = Running {
+        task: task(6, 0, 0),
+        run: 1,
+        saved: String::new(),
+    };
+    director.look(
+        &HostId::from("w-0"),
+        &look(vec![running]),
+        now,
+        &mut actions,
+    );
+    director.look(&HostId::from("w-1"), &look(Vec::new()), now, &mut actions);
+    director.submit(flow(6, vec![step(1, CORE)], None), now, Millis::ZERO);
+    director.place(now, &mut actions);
+    assert_eq!(starts(&actions), 0);
+}
+
+#[test]
+fn long_questions_leave_gates_for_short_ones() {
+    struct Question {
+        cost_ms: u64,
+        backlog_ms: Option<u64>,
+    }
+    let now = Millis(1_000);
+    let mut gates = AdviceGates::new(GateId::from("gate-0"), now);
+    for at in 1..5 {
+        let name = format!("gate-{at}");
+        gates.greet(GateId::from(name.as_str()), name, now);
+    }
+    // Three of five gates take long questions, up to a backlog of 1.5 s each.
+    let mut questions = vec![
+        Question {
+            cost_ms: 500,
+            backlog_ms: Some(500),
+        },
+        Question {
+            cost_ms: 500,
+            backlog_ms: Some(500),
+        },
+        Question {
+            cost_ms: 500,
+            backlog_ms: Some(500),
+        },
+    ];
+    for backlog in [1_000, 1_500, 2_000] {
+        questions.extend((0..3).map(|_| Question {
+            cost_ms: 500,
+            backlog_ms: Some(backlog),
+        }));
+    }
+    questions.push(Question {
+        cost_ms: 500,
+        backlog_ms: None,
+    });
+    questions.push(Question {
+        cost_ms: 10,
+        backlog_ms: Some(10),
+    });
+    questions.push(Question {
+        cost_ms: 10,
+        backlog_ms: Some(10),
+    });
+    questions.push(Question {
+        cost_ms: 10,
+        backlog_ms: Some(20),
+    });
+    for (at, question) in questions.into_iter().enumerate() {
+        let taken = gates
+            .take(question.cost_ms, now)
+            .map(|(_, backlog)| backlog);
+        assert_eq!(taken, question.backlog_ms, "question {at}");
+    }
+}
+
 #[test]
 fn random_days_break_no_rule() {
     struct Day {
--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -11,6 +11,7 @@
 mod hosts;
 mod launch;
 mod listen;
+mod log;
 mod meters;
 mod owner;
 mod ownership;
--- a/wigeongate/src/entry/accept.rs
+++ b/wigeongate/src/entry/accept.rs
@@ -120,14 +120,17 @@
         }
         Ok(Committed::NoLease) => answer_all(batch, Accepted::Refused),
         Err(error) if error.is_not_done() => {
-            warn!(%error, jobs = batch.len(), "accept: not stored.");
+            for (flow, _) in &batch {
+                warn!(job = %flow.id, %error, "accept: refused, it is not stored.");
+            }
             answer_all(batch, Accepted::Refused);
         }
         Err(error) => {
-            warn!(%error, jobs = batch.len(), "accept: not known whether stored.");
             for (flow, answer) in batch {
+                warn!(job = %flow.id, %error, "accept: it is not known whether it is stored.");
                 let found = shared.store.get(&job_key(flow.id)).await;
                 let stored = matches!(found, Ok(Some(_)));
+                info!(job = %flow.id, stored, "accept: looked it up.");
                 let _ = answer.send(if stored {
                     Accepted::Known
                 } else {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -9,20 +9,20 @@
 use tokio::time::{MissedTickBehavior, interval};
 use tracing::{debug, info, warn};
 use wigeongate_core::collections::HashMap;
-use wigeongate_core::ids::{GateId, HostId};
+use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Advice, Director, DirectorSettings, HostEntry, Look, Record, StartResult, StepId,
-    TaskName, Workflow,
+    Action, Advice, AdviceGates, Director, DirectorSettings, HostEntry, Look, Record, StartResult,
+    StepId, TaskName, Workflow,
 };
-use wigeongate_platform::store::{Change, Committed, StoreError, Txn};
+use wigeongate_platform::store::{Change, StoreError};
 
 use super::advice::Adviser;
 use super::callers::age;
-use super::cleanup::Cleanup;
 use super::hosts::HostLink;
+use super::log::Log;
 use super::peers::{self, PeerAnswer, PeerCall};
-use super::records::{Batch, JOBS, LOG, OWNER, batch_key, decode, encode};
+use super::records::{Batch, JOBS, LOG, decode};
 use super::registry;
 use super::shared::Shared;
 use crate::clock::wall;
@@ -30,16 +30,9 @@
 /// The time between ticks, in milliseconds.
 const TICK_MS: u64 = 50;
 
-/// The shortest time between writes of the log, in milliseconds: every write is priced, and a
-/// short job's objective leaves some hundred milliseconds.
-const WRITE_EVERY_MS: u64 = 40;
-
 /// The time between looks at accepted jobs of which no gate has told, in milliseconds.
 const JOBS_EVERY_MS: u64 = 1_000;
 
-/// How long after its last greeting a gate is asked for advice, in milliseconds.
-const GATE_MS: u64 = 2_500;
-
 /// What an issued ticket is shortened by for its way here, in milliseconds.
 const TICKET_WAY_MS: u64 = 30;
 
@@ -50,19 +43,6 @@
 /// one, of a quarter of a core.
 const PASS_EVERY_MS: u64 = 20;
 
-/// The longest backlog of questions at a gate, in milliseconds: tickets would end before use.
-const BACKLOG_MS: u64 = 1_500;
-
-/// The time between removals of what is no longer shown, in milliseconds: one removes 31 keys, and
-/// about 60 come a second on the users' platform.
-const CLEAN_EVERY_MS: u64 = 400;
-
-/// The most records in one write.
-const MOST_RECORDS: usize = 5_000;
-
-/// The pause before a failed write is tried again, in milliseconds.
-const WRITE_AGAIN_MS: u64 = 100;
-
 /// Something that the owner takes in.
 #[derive(Debug)]
 pub enum Input {
@@ -111,35 +91,21 @@
     }
 }
 
-/// A gate that asks the advice service.
-#[derive(Debug)]
-struct AdviceGate {
-    /// Its address; `None` for this gate.
-    address: Option<String>,
-    heard: Millis,
-    /// When the questions that it was given are answered.
-    free: Millis,
-}
-
 /// The owner.
 #[derive(Debug)]
 pub struct Owner {
     shared: Arc<Shared>,
     adviser: Arc<Adviser>,
     epoch: u64,
-    revision: u64,
     /// Whether orders may be given.
     valid: Arc<AtomicBool>,
+    /// Whether the lease runs, so that jobs may be taken.
+    fresh: Arc<AtomicBool>,
     director: Director,
     links: HashMap<HostId, HostLink>,
-    gates: HashMap<GateId, AdviceGate>,
+    gates: AdviceGates,
     inputs: mpsc::UnboundedSender<Input>,
-    /// Records that are not written, and the number of the first of them.
-    unwritten: Vec<Record>,
-    first_unwritten: u64,
-    writing: bool,
-    wrote: Millis,
-    batches: u64,
+    log: Log,
     /// Cancellations that are answered when the record is written.
     cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     jobs_revision: u64,
@@ -147,8 +113,6 @@
     /// When the last pass was made.
     passed: Millis,
     starts: HashMap<TaskName, Millis>,
-    cleanup: Cleanup,
-    cleaned: Millis,
 }
 
 impl Owner {
@@ -159,6 +123,7 @@
         epoch: u64,
         revision: u64,
         valid: Arc<AtomicBool>,
+        fresh: Arc<AtomicBool>,
     ) -> (Self, mpsc::UnboundedReceiver<Input>) {
         let (inputs, receiver) = mpsc::unbounded_channel();
         let now = shared.now();
@@ -169,28 +134,24 @@
             task_lease: Millis(bounds.task_lease_ms * 103 / 100 + 300),
             shown_for: Millis::from_secs(bounds.shown_s + 30),
         };
+        let log = Log::new(Arc::clone(&shared), epoch, revision, inputs.clone());
+        let gates = AdviceGates::new(shared.settings.gate.clone(), now);
         let owner = Self {
             director: Director::new(settings, now),
             shared,
             adviser,
             epoch,
-            revision,
             valid,
+            fresh,
             links: HashMap::default(),
-            gates: HashMap::default(),
+            gates,
             inputs,
-            unwritten: Vec::new(),
-            first_unwritten: 1,
-            writing: false,
-            wrote: Millis::ZERO,
-            batches: 0,
+            log,
             cancels: Vec::new(),
             jobs_revision: 0,
             fenced: false,
             passed: Millis::ZERO,
             starts: HashMap::default(),
-            cleanup: Cleanup::default(),
-            cleaned: now,
         };
         (owner, receiver)
     }
@@ -270,7 +231,7 @@
         for item in &batches {
             match decode::<Batch>(&item.key, &item.value) {
                 Ok(batch) => {
-                    self.cleanup.note(&item.key, &batch.records);
+                    self.log.note(&item.key, &batch.records);
                     for record in &batch.records {
                         self.director.replay(record, now);
                     }
@@ -332,8 +293,8 @@
     }
 
     fn submit(&mut self, flow: Workflow) -> bool {
-        // Without a valid ownership another owner may have taken the job already.
-        if !self.valid.load(Ordering::Relaxed) {
+        // Past the lease another owner may have taken the job already.
+        if !self.fresh.load(Ordering::Relaxed) {
             return false;
         }
         let age = age(flow.accepted);
@@ -353,13 +314,7 @@
         let now = self.shared.now();
         let reply = match call {
             PeerCall::Hello(gate, address) => {
-                let entry = self.gates.entry(gate).or_insert(AdviceGate {
-                    address: None,
-                    heard: now,
-                    free: now,
-                });
-                entry.address = Some(address);
-                entry.heard = now;
+                self.gates.greet(gate, address, now);
                 PeerAnswer::Done
             }
             PeerCall::Submit(flow) => {
@@ -463,7 +418,7 @@
                     info!(job = %job, %shown, "owner: job ended.");
                     self.shared.meters.count("jobs", &shown.to_string());
                 }
-                self.unwritten.push(record);
+                self.log.push(record);
             }
             Action::Look { host } => {
                 if let Some(link) = self.links.get(&host) {
@@ -481,30 +436,11 @@
     /// Asks the advice service through the gate with the shortest backlog.
     fn advise(&mut self, step: StepId, hosts: Vec<HostId>, cost_ms: u64) {
         let now = self.shared.now();
-        self.gates
-            .retain(|_, gate| gate.address.is_none() || now.since(gate.heard).0 < GATE_MS);
-        self.gates
-            .entry(self.shared.settings.gate.clone())
-            .or_insert(AdviceGate {
-                address: None,
-                heard: now,
-                free: now,
-            });
-        let Some(gate) = self
-            .gates
-            .values_mut()
-            .min_by_key(|gate| (gate.free.max(now), gate.address.is_none()))
-        else {
-            return;
-        };
-        if gate.free.since(now).0 > BACKLOG_MS {
-            info!(%step, backlog_ms = gate.free.since(now).0, "owner: no gate is free for advice.");
+        let Some((address, backlog)) = self.gates.take(cost_ms, now) else {
+            info!(%step, cost_ms, "owner: no gate is free for advice.");
             let _ = self.inputs.send(Input::Advised(step, hosts, None));
             return;
-        }
-        gate.free = gate.free.max(now) + Millis(cost_ms);
-        let backlog = gate.free.since(now).0;
-        let address = gate.address.clone();
+        };
         let shared = Arc::clone(&self.shared);
         let adviser = Arc::clone(&self.adviser);
         let inputs = self.inputs.clone();
@@ -532,7 +468,7 @@
     }
 
     fn written(&mut self, number: u64, actions: &mut Vec<Action>) {
-        self.writing = false;
+        self.log.written();
         self.director.written(number, actions);
         let done: Vec<_> = self
             .cancels
@@ -543,94 +479,31 @@
         }
     }
 
-    /// Writes what is recorded, one write at a time.
+    /// Writes what is recorded, and lets ends be forgotten that no unwritten record speaks of.
     fn write(&mut self) {
-        let now = self.shared.now();
-        self.flush_forgets();
-        if self.writing || self.unwritten.is_empty() || now.since(self.wrote).0 < WRITE_EVERY_MS {
-            return;
+        if let Some(number) = self.log.idle_at() {
+            let mut actions = Vec::new();
+            self.director.written(number, &mut actions);
+            for action in actions {
+                self.carry_out(action);
+            }
         }
-        self.wrote = now;
-        self.writing = true;
-        self.batches += 1;
-        let count = self.unwritten.len().min(MOST_RECORDS);
-        let records: Vec<Record> = self.unwritten.drain(..count).collect();
-        let last = self.first_unwritten + u64::try_from(count).unwrap_or(0) - 1;
-        self.first_unwritten = last + 1;
-        let key = batch_key(self.epoch, self.batches);
-        self.cleanup.note(&key, &records);
-        let txn = Txn {
-            expected: vec![(OWNER.to_owned(), self.revision), (key.clone(), 0)],
-            puts: vec![(key.clone(), encode(&Batch { records }), 0)],
-            removes: Vec::new(),
-        };
-        let shared = Arc::clone(&self.shared);
-        let inputs = self.inputs.clone();
-        tokio::spawn(async move {
-            let input = write_batch(&shared, &txn, &key, last).await;
-            let took = shared.now().since(now);
-            shared.meters.time("log_write", "all", took);
-            let _ = inputs.send(input);
-        });
+        self.log.write();
     }
 
-    /// Removes jobs from the store that ended long ago, and batches that speak of no other.
+    /// Removes from the store what is no longer shown.
     fn clean(&mut self) {
         let now = self.shared.now();
-        if now.since(self.cleaned).0 < CLEAN_EVERY_MS {
+        if !self.log.cleans(now) {
             return;
         }
-        self.cleaned = now;
         let expired = self.director.expired(now);
+        let director = &self.director;
+        let is_known = |job| director.shown(job).is_some();
         if !expired.is_empty() {
-            let director = &self.director;
-            let is_known = |job| director.shown(job).is_some();
             self.starts.retain(|task, _| is_known(task.step.job));
-            self.cleanup.forget(&expired, is_known);
-        }
-        if !self.writing {
-            self.cleanup.remove_some(&self.shared, self.revision);
-        }
-    }
-
-    /// Lets ends be forgotten that no unwritten record speaks of.
-    fn flush_forgets(&mut self) {
-        if !self.unwritten.is_empty() || self.writing {
-            return;
-        }
-        let mut actions = Vec::new();
-        self.director
-            .written(self.first_unwritten - 1, &mut actions);
-        for action in actions {
-            self.carry_out(action);
-        }
-    }
-}
-
-/// Writes a batch until it is known to be written or another owner has taken over.
-async fn write_batch(shared: &Shared, txn: &Txn, key: &str, last: u64) -> Input {
-    loop {
-        match shared.store.commit(txn).await {
-            Ok(Committed::Done(_)) => return Input::Written(last),
-            Ok(Committed::Conflict(items)) => {
-                let owned = items
-                    .iter()
-                    .any(|item| item.key == OWNER && item.revision == txn.expected[0].1);
-                let written = items
-                    .iter()
-                    .any(|item| item.key == key && item.revision > 0);
-                if written {
-                    return Input::Written(last);
-                }
-                if !owned {
-                    info!(key, "owner: the log is another owner's now.");
-                    return Input::Fenced;
-                }
-            }
-            Ok(Committed::NoLease) => {}
-            Err(error) => warn!(%error, key, "owner: the log was not written."),
         }
-        tokio::time::sleep(Duration::from_millis(WRITE_AGAIN_MS)).await;
+        self.log.clean(&expired, is_known);
     }
 }
 
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -214,17 +214,19 @@
     info!(epoch = record.epoch, revision, "ownership: taken over.");
     shared.owner.send_replace(Some(record.clone()));
     let valid = Arc::new(AtomicBool::new(true));
+    let fresh = Arc::new(AtomicBool::new(true));
     let (owner, inputs) = Owner::new(
         Arc::clone(shared),
         Arc::clone(adviser),
         record.epoch,
         revision,
         Arc::clone(&valid),
+        Arc::clone(&fresh),
     );
     shared.set_local(Some(owner.handle()));
     let result = tokio::select! {
         result = owner.run(inputs) => result,
-        () = renew(shared, lease, sent, &valid) => Ok(()),
+        () = renew(shared, lease, sent, &valid, &fresh) => Ok(()),
         () = stop.notified() => Ok(()),
     };
     valid.store(false, Ordering::Relaxed);
@@ -238,7 +240,7 @@
 }
 
 /// Renews the lease until it has ended or the store was silent for too long.
-async fn renew(shared: &Shared, lease: u64, sent: Millis, valid: &AtomicBool) {
+async fn renew(shared: &Shared, lease: u64, sent: Millis, valid: &AtomicBool, fresh: &AtomicBool) {
     let mut proved = sent;
     loop {
         sleep(Duration::from_millis(RENEW_MS)).await;
@@ -252,6 +254,7 @@
             Err(error) => warn!(%error, lease, "ownership: not renewed."),
         }
         let silent = shared.now().since(proved).0;
+        fresh.store(silent < TTL_MS, Ordering::Relaxed);
         let was = valid.swap(silent < TTL_MS + ORPHAN_MS, Ordering::Relaxed);
         if was && silent >= TTL_MS + ORPHAN_MS {
             warn!(
