--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -27,6 +27,10 @@
 /// their entries are back within two seconds of an outage of the store.
 const RELISTED_MS: u64 = 2_500;
 
+/// After how many looks without an answer a new owner no longer waits for a host: an order may be
+/// carried out late, one of twenty at the worst.
+const SILENT_LOOKS: u32 = 2;
+
 /// The settings of a director.
 #[derive(Debug, Clone)]
 pub struct DirectorSettings {
@@ -139,7 +143,7 @@
     pub fn prolong(&mut self, id: &HostId, lease: Millis) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.lease = host.lease.max(lease);
-            host.silent = true;
+            host.silent += 1;
         }
     }
 
@@ -351,7 +355,7 @@
         let asked = |host: &Host| {
             host.known
                 || if host.listed {
-                    host.silent
+                    host.silent >= SILENT_LOOKS
                 } else {
                     back || host.claims.is_empty()
                 }
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -92,8 +92,8 @@
     pub listed: bool,
     /// Whether it has answered under this owner's epoch, so that its runs are known.
     pub known: bool,
-    /// Whether a look at it had no answer under this owner.
-    pub silent: bool,
+    /// How many looks at it had no answer under this owner.
+    pub silent: u32,
     /// The boot that answered last.
     pub born: u64,
     /// Runs that take room.
@@ -124,7 +124,7 @@
             entry,
             listed: true,
             known: false,
-            silent: false,
+            silent: 0,
             born: 0,
             claims: HashMap::default(),
             used: Resources::ZERO,
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -252,6 +252,33 @@
     assert_eq!(starts(&actions), 0);
 }
 
+#[test]
+fn one_look_without_an_answer_is_not_enough_to_start_inherited_work() {
+    let now = Millis(10_000);
+    let mut director = Director::new(DirectorSettings::default(), now);
+    director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+    let mut actions = Vec::new();
+    director.restore(flow(6, vec![step(1, CORE)], None), now, Millis::ZERO);
+    director.restored(now, &mut actions);
+    director.list(host(0, 8 * CORE), now);
+    director.list(host(1, 8 * CORE), now);
+    let look = Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(3_000),
+        ..Look::default()
+    };
+    // The run may be on the host whose answer is late.
+    director.prolong(&HostId::from("w-1"), Millis::ZERO);
+    director.look(&HostId::from("w-0"), &look, now, &mut actions);
+    director.place(now, &mut actions);
+    assert_eq!(starts(&actions), 0);
+    director.prolong(&HostId::from("w-1"), Millis::ZERO);
+    director.tick(now, 0, &mut actions);
+    director.place(now, &mut actions);
+    assert_eq!(starts(&actions), 1);
+}
+
 #[test]
 fn long_questions_leave_gates_for_short_ones() {
     struct Question {
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -28,6 +28,10 @@
 /// about 60 come a second on the users' platform.
 const CLEAN_EVERY_MS: u64 = 400;
 
+/// How long a record may wait, in milliseconds, before starts wait too: one write without an
+/// answer and its repetition take less.
+const BEHIND_MS: u64 = 800;
+
 /// The log of one ownership.
 #[derive(Debug)]
 pub struct Log {
@@ -40,6 +44,8 @@
     /// The number of the first unwritten record; they are numbered from 1.
     first: u64,
     writing: bool,
+    /// When the oldest record was taken that is not known to be written.
+    oldest: Option<Millis>,
     wrote: Millis,
     batches: u64,
     cleanup: Cleanup,
@@ -63,6 +69,7 @@
             unwritten: Vec::new(),
             first: 1,
             writing: false,
+            oldest: None,
             wrote: Millis::ZERO,
             batches: 0,
             cleanup: Cleanup::default(),
@@ -76,12 +83,23 @@
 
     /// Takes a record to be written.
     pub fn push(&mut self, record: Record) {
+        self.oldest.get_or_insert(self.shared.now());
         self.unwritten.push(record);
     }
 
     /// Takes in that the write under way has ended.
-    pub const fn written(&mut self) {
+    pub fn written(&mut self) {
         self.writing = false;
+        // Records that wait were taken after the write began.
+        self.oldest = (!self.unwritten.is_empty()).then_some(self.wrote);
+    }
+
+    /// Returns whether records wait for so long that no more starts may be added: a new owner
+    /// would not know of them.
+    pub fn is_behind(&self) -> bool {
+        let now = self.shared.now();
+        self.oldest
+            .is_some_and(|oldest| now.since(oldest).0 > BEHIND_MS)
     }
 
     /// Returns the number of the last record when every one is written.
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -196,7 +196,8 @@
             } else {
                 0
             };
-            if self.valid.load(Ordering::Relaxed) && now.since(self.passed).0 >= rest {
+            let may_start = self.valid.load(Ordering::Relaxed) && !self.log.is_behind();
+            if may_start && now.since(self.passed).0 >= rest {
                 self.passed = now;
                 self.director.place(now, &mut actions);
             }
