--- a/wigeongate-bench/src/control/site.rs
+++ b/wigeongate-bench/src/control/site.rs
@@ -191,12 +191,12 @@
         .args(["run", "--settings"])
         .arg(settings)
         .env("NO_COLOR", "1")
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .kill_on_drop(true)
         .spawn()
         .wrap_err_with(|| format!("starting {}", program.display()))?;
-    let stderr = gate.stderr.take().ok_or_else(|| eyre!("reading its log"))?;
-    let mut lines = BufReader::new(stderr).lines();
+    let stdout = gate.stdout.take().ok_or_else(|| eyre!("reading its log"))?;
+    let mut lines = BufReader::new(stdout).lines();
     while let Some(line) = lines.next_line().await? {
         let found = line.split("listens on ").nth(1);
         let found = found.and_then(|rest| rest.trim_end_matches('.').parse().ok());
--- a/wigeongate/tests/deployment/mod.rs
+++ b/wigeongate/tests/deployment/mod.rs
@@ -15,7 +15,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
-use tokio::process::{Child, ChildStderr, Command};
+use tokio::process::{Child, ChildStdout, Command};
 use wigeongate::client::client;
 use wigeongate::dev::OPERATOR_KEY;
 use wigeongate_config::change::Change;
@@ -201,12 +201,12 @@
             .args(["run", "--settings"])
             .arg(&path)
             .env("NO_COLOR", "1")
-            .stderr(Stdio::piped())
+            .stdout(Stdio::piped())
             .kill_on_drop(true)
             .spawn()
             .expect("the gate starts");
-        let stderr = child.stderr.take().expect("its log is read");
-        let mut lines = BufReader::new(stderr).lines();
+        let stdout = child.stdout.take().expect("its log is read");
+        let mut lines = BufReader::new(stdout).lines();
         let address = tokio::time::timeout(HANG, listens(&mut lines)).await;
         let address = address.expect("the gate listens");
         tokio::spawn(show(name.to_owned(), lines));
@@ -352,7 +352,7 @@
     SocketAddr::new(address.ip(), 0)
 }
 
-async fn listens(lines: &mut Lines<BufReader<ChildStderr>>) -> SocketAddr {
+async fn listens(lines: &mut Lines<BufReader<ChildStdout>>) -> SocketAddr {
     loop {
         let line = lines.next_line().await.expect("the log is read");
         let line = line.expect("the gate runs");
@@ -365,7 +365,7 @@
 }
 
 /// Prints a gate's log, so that it is shown when the test fails.
-async fn show(gate: String, mut lines: Lines<BufReader<ChildStderr>>) {
+async fn show(gate: String, mut lines: Lines<BufReader<ChildStdout>>) {
     while let Ok(Some(line)) = lines.next_line().await {
         println!("{gate}: {line}");
     }
