Use one piece of code for task look-up, a gang's runs and room by service

Cause: read of the whole change: a task was looked up in eight places, a gang's runs were collected in three, free room by service in two; host.heard, task.placed_at, a parameter of best_host and one of attach were never read.

Change: Step::task, Step::runs and Director::rooms serve all; the dead state is gone. Behaviour is meant to be the same; no test was changed.

--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -167,7 +167,7 @@
         let job = Job::new(flow, &rules, now, age);
         self.jobs.insert(id, job);
         for (host, run) in self.strays.remove(&id).unwrap_or_default() {
-            self.attach(&host, run, now);
+            self.attach(&host, run);
         }
         self.advance(id, now, &mut Vec::new());
         true
@@ -471,8 +471,7 @@
 
     /// Returns a task's state.
     pub(super) fn task(&mut self, name: TaskName) -> Option<&mut super::job::Task> {
-        let at = usize::try_from(name.index).ok()?;
-        self.step(name.step)?.tasks.get_mut(at)
+        self.step(name.step)?.task(name.index)
     }
 
     /// Returns whether a job may not start anything yet.
@@ -491,10 +490,7 @@
         let Some(step) = Self::step_of(job, name.step) else {
             return;
         };
-        let Some(task) = usize::try_from(name.index)
-            .ok()
-            .and_then(|at| step.tasks.get_mut(at))
-        else {
+        let Some(task) = step.task(name.index) else {
             return;
         };
         if task.phase == Phase::Placed && task.places.is_empty() {
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -35,7 +35,6 @@
         host.born = look.born;
         let took = host.takes_work(now);
         host.lease = host.lease.max(look.lease);
-        host.heard = now;
         let first = !host.known;
         host.known = true;
         self.dirty |= first || took != host.takes_work(now);
@@ -163,11 +162,11 @@
                 },
             );
         }
-        self.attach(id, key, now);
+        self.attach(id, key);
     }
 
     /// Gives a run that takes room on a host to its task.
-    pub(super) fn attach(&mut self, id: &HostId, key: RunKey, now: Millis) {
+    pub(super) fn attach(&mut self, id: &HostId, key: RunKey) {
         let (name, run) = key;
         let Some(size) = self
             .hosts
@@ -190,15 +189,11 @@
         let Some(step) = Self::step_of(job, name.step) else {
             return;
         };
-        let Some(task) = usize::try_from(name.index)
-            .ok()
-            .and_then(|at| step.tasks.get_mut(at))
-        else {
+        let Some(task) = step.task(name.index) else {
             return;
         };
         task.run = task.run.max(run);
         task.places.push((id.clone(), run));
-        task.placed_at = now;
         if task.phase == Phase::Waiting {
             task.phase = Phase::Placed;
             step.waiting -= 1;
@@ -390,10 +385,7 @@
             return;
         };
         let gang = step.spec.gang;
-        let Some(task) = usize::try_from(name.index)
-            .ok()
-            .and_then(|at| step.tasks.get_mut(at))
-        else {
+        let Some(task) = step.task(name.index) else {
             return;
         };
         task.places.retain(|place| *place != (id.clone(), run));
@@ -443,17 +435,15 @@
         let Some(step) = self.step(name.step) else {
             return;
         };
-        let Some(task) = usize::try_from(name.index)
-            .ok()
-            .and_then(|at| step.tasks.get_mut(at))
-        else {
+        let Some(task) = step.task(name.index) else {
             return;
         };
-        if task.phase == Phase::Waiting {
-            step.waiting -= 1;
-        }
+        let waited = task.phase == Phase::Waiting;
         task.phase = Phase::Done;
         let copies = task.places.clone();
+        if waited {
+            step.waiting -= 1;
+        }
         step.left -= 1;
         let left = step.left;
         self.record(Record::Done(name), out);
@@ -476,15 +466,7 @@
     ) {
         let attempts = self.attempts(at);
         let Some(step) = self.step(at) else { return };
-        let members: Vec<(HostId, RunKey)> = (0..)
-            .zip(&step.tasks)
-            .flat_map(|(index, task)| {
-                let name = TaskName { step: at, index };
-                task.places
-                    .iter()
-                    .map(move |(host, run)| (host.clone(), (name, *run)))
-            })
-            .collect();
+        let members = step.runs(at);
         if !saved.is_empty() {
             for task in &mut step.tasks {
                 task.saved = Arc::from(saved);
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -102,8 +102,6 @@
     pub used: Resources,
     /// Until when its tasks may run without another call.
     pub lease: Millis,
-    /// When it answered last.
-    pub heard: Millis,
     /// When an extra look was asked for.
     pub looked: Millis,
     /// Room that is kept for a step.
@@ -129,7 +127,6 @@
             claims: HashMap::default(),
             used: Resources::ZERO,
             lease: Millis::ZERO,
-            heard: now,
             looked: now,
             reserved: None,
             rests: Millis::ZERO,
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -61,8 +61,6 @@
     pub places: Vec<(HostId, u32)>,
     /// Where a run of it failed last.
     pub failed_on: Option<HostId>,
-    /// When its newest run started.
-    pub placed_at: Millis,
 }
 
 /// What is known of the hosts that may run a step.
@@ -175,23 +173,13 @@
     /// Returns every run that takes room.
     pub fn runs(&self) -> Vec<(HostId, RunKey)> {
         let mut runs = Vec::new();
-        for (at, occurrence) in (0..).zip(&self.occurrences) {
-            for (step_at, step) in (0..).zip(&occurrence.steps) {
-                for (index, task) in (0..).zip(&step.tasks) {
-                    let name = super::TaskName {
-                        step: super::StepId {
-                            job: self.flow.id,
-                            occurrence: at,
-                            step: step_at,
-                        },
-                        index,
-                    };
-                    runs.extend(
-                        task.places
-                            .iter()
-                            .map(|(host, run)| (host.clone(), (name, *run))),
-                    );
-                }
+        for (occurrence, steps) in (0..).zip(&self.occurrences) {
+            for (step, state) in (0..).zip(&steps.steps) {
+                runs.extend(state.runs(super::StepId {
+                    job: self.flow.id,
+                    occurrence,
+                    step,
+                }));
             }
         }
         runs
@@ -246,7 +234,6 @@
             saved: Arc::from(""),
             places: Vec::new(),
             failed_on: None,
-            placed_at: Millis::ZERO,
         };
         Self {
             tasks: vec![task; usize::try_from(spec.count).unwrap_or_default()],
@@ -272,6 +259,21 @@
         }
     }
 
+    /// Returns a task by its place.
+    pub fn task(&mut self, index: u32) -> Option<&mut Task> {
+        self.tasks.get_mut(usize::try_from(index).ok()?)
+    }
+
+    /// Returns every run that takes room; `at` names this step.
+    pub fn runs(&self, at: super::StepId) -> Vec<(HostId, RunKey)> {
+        let of_task = |(index, task): (u32, &Task)| {
+            let name = super::TaskName { step: at, index };
+            let place = move |(host, run): &(HostId, u32)| (host.clone(), (name, *run));
+            task.places.iter().map(place).collect::<Vec<_>>()
+        };
+        (0..).zip(&self.tasks).flat_map(of_task).collect()
+    }
+
     /// Notes a failed run of a gang; returns whether it was not known.
     pub fn fail(&mut self, run: u32) -> bool {
         let new = !self.failed.contains(&run);
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -38,7 +38,7 @@
             return;
         }
         self.dirty = false;
-        let room = self.largest_room(now);
+        let room = self.rooms(now, |one, other| one.max(&other));
         let mut steps: Vec<Order> = self
             .ready
             .iter()
@@ -46,20 +46,24 @@
             .collect();
         steps.sort_unstable();
         self.pass = Pass {
-            room: self.whole_room(now),
+            room: self.rooms(now, |one, other| one + other),
         };
         for (lateness, _, _, step) in steps.into_iter().take(MOST_STEPS) {
             self.place_step(step, lateness, now, out);
         }
     }
 
-    /// Returns the free room of each service, on all hosts together.
-    fn whole_room(&self, now: Millis) -> HashMap<String, Resources> {
+    /// Returns the free room of the hosts of each service, put together by `merge`.
+    fn rooms(
+        &self,
+        now: Millis,
+        merge: impl Fn(Resources, Resources) -> Resources,
+    ) -> HashMap<String, Resources> {
         let mut rooms: HashMap<String, Resources> = HashMap::default();
         for host in self.hosts.values().filter(|host| host.takes_work(now)) {
             let free = host.entry.capacity.saturating_sub(&host.used);
             match rooms.get_mut(&host.entry.service) {
-                Some(room) => *room += free,
+                Some(room) => *room = merge(*room, free),
                 None => {
                     rooms.insert(host.entry.service.clone(), free);
                 }
@@ -79,21 +83,6 @@
         any
     }
 
-    /// Returns the largest free amount of each resource on any host of each service.
-    fn largest_room(&self, now: Millis) -> HashMap<String, Resources> {
-        let mut rooms: HashMap<String, Resources> = HashMap::default();
-        for host in self.hosts.values().filter(|host| host.takes_work(now)) {
-            let free = host.entry.capacity.saturating_sub(&host.used);
-            match rooms.get_mut(&host.entry.service) {
-                Some(room) => *room = room.max(&free),
-                None => {
-                    rooms.insert(host.entry.service.clone(), free);
-                }
-            }
-        }
-        rooms
-    }
-
     fn order(&self, at: StepId, now: Millis, room: &HashMap<String, Resources>) -> Option<Order> {
         let job = self.jobs.get(&at.job)?;
         if self.is_held(job) {
@@ -171,7 +160,7 @@
                 return;
             }
             let host = self.with_need(at, rules, now, |director, need| {
-                director.best_host(need, failed_on.as_ref(), &[])
+                director.best_host(need, failed_on.as_ref())
             });
             match host.flatten() {
                 Some(host) => self.start(TaskName { step: at, index }, &host, now, out),
@@ -258,15 +247,7 @@
     fn break_gang(&mut self, at: StepId, now: Millis, out: &mut Vec<Action>) {
         let Some(step) = self.step(at) else { return };
         step.breaking = true;
-        let members: Vec<_> = (0..)
-            .zip(&step.tasks)
-            .flat_map(|(index, task)| {
-                let name = TaskName { step: at, index };
-                task.places
-                    .iter()
-                    .map(move |(host, run)| (host.clone(), (name, *run)))
-            })
-            .collect();
+        let members = step.runs(at);
         for (host, run) in &members {
             self.stop(host, *run, now, out);
         }
@@ -313,17 +294,13 @@
             size.cpu = 0;
         }
         let ticket = step.known.good.get(id).map(|(ticket, _)| ticket.clone());
-        let Some(task) = usize::try_from(name.index)
-            .ok()
-            .and_then(|at| step.tasks.get_mut(at))
-        else {
+        let Some(task) = step.task(name.index) else {
             return;
         };
         task.run = task.run.max(first) + 1;
         let run = task.run;
         task.phase = Phase::Placed;
         task.places.push((id.clone(), run));
-        task.placed_at = now;
         let checkpoint = task.saved.clone();
         step.waiting -= 1;
         if step.waiting == 0 {
--- a/wigeongate-core/src/workflow/places.rs
+++ b/wigeongate-core/src/workflow/places.rs
@@ -110,12 +110,7 @@
     }
 
     /// Returns the best host for one task: near its data, not where it failed, least room left.
-    pub(super) fn best_host(
-        &self,
-        need: &Need<'_>,
-        failed_on: Option<&HostId>,
-        but: &[HostId],
-    ) -> Option<HostId> {
+    pub(super) fn best_host(&self, need: &Need<'_>, failed_on: Option<&HostId>) -> Option<HostId> {
         let one = Need { count: 1, ..*need };
         let rank = |(id, host): &(&HostId, &Host)| {
             let far = need
@@ -130,7 +125,6 @@
             .filter(|(id, host)| {
                 self.may_run(host, need, need.now)
                     && Self::has_ticket(id, need)
-                    && !but.contains(id)
                     && self.room(host, &one, need.now) > 0
             })
             .min_by_key(rank)
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -69,9 +69,7 @@
             Record::Done(task) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, task.step)
-                    && let Some(state) = usize::try_from(task.index)
-                        .ok()
-                        .and_then(|at| step.tasks.get_mut(at))
+                    && let Some(state) = step.task(task.index)
                     && state.phase != Phase::Done
                 {
                     state.phase = Phase::Done;
@@ -92,9 +90,7 @@
             Record::Failed(task, run) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, task.step)
-                    && let Some(state) = usize::try_from(task.index)
-                        .ok()
-                        .and_then(|at| step.tasks.get_mut(at))
+                    && let Some(state) = step.task(task.index)
                 {
                     state.fail(*run);
                 }
