Let gates on larger hosts take over first

Ruled out: the store (100 calls a second of 7,200 allowed) and the links.

Settings take whole numbers and fractions alike (first run: every gate ended, 'cores: found 1'). Tests: a_large_host_takes_over_before_a_small_one, numbers_may_have_fractions.

--- a/wigeongate-config/src/entry.rs
+++ b/wigeongate-config/src/entry.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use wigeongate_core::ids::{GateId, ZoneId};
 
 use crate::check::Check;
 use crate::problem::{Path, Problems};
 
 /// The settings of one gate on an entry host.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntrySettings {
     /// Its name, the same after a restart.
@@ -28,6 +28,12 @@
     pub store: SocketAddr,
     /// The address of the advice service; empty where no queue needs it.
     pub advice: String,
+    /// The share of a core that the host gives this gate.
+    #[serde(deserialize_with = "number")]
+    pub share: f64,
+    /// How many cores the host has.
+    #[serde(deserialize_with = "number")]
+    pub cores: f64,
     /// Bounds of time that the operators set.
     pub bounds: EntryBounds,
 }
@@ -37,15 +43,65 @@
 #[serde(default, deny_unknown_fields)]
 pub struct EntryBounds {
     /// The longest lease of what runs on an executor, in milliseconds.
+    #[serde(deserialize_with = "time")]
     pub task_lease_ms: u64,
     /// How long after its withdrawal a key may still work, in milliseconds.
+    #[serde(deserialize_with = "time")]
     pub revoke_ms: u64,
     /// The time from SIGTERM to SIGKILL, in seconds.
+    #[serde(deserialize_with = "time")]
     pub grace_s: u64,
     /// How long a job that has ended is still shown, in seconds.
+    #[serde(deserialize_with = "time")]
     pub shown_s: u64,
 }
 
+/// Takes a number that may be written with or without a fraction.
+struct Number;
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "settings are far below what loses precision"
+)]
+impl serde::de::Visitor<'_> for Number {
+    type Value = f64;
+
+    fn expecting(&self, text: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        text.write_str("a number")
+    }
+
+    fn visit_i128<E>(self, value: i128) -> Result<f64, E> {
+        Ok(value as f64)
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<f64, E> {
+        Ok(value as f64)
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<f64, E> {
+        Ok(value as f64)
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<f64, E> {
+        Ok(value)
+    }
+}
+
+fn number<'de, D: Deserializer<'de>>(input: D) -> Result<f64, D::Error> {
+    input.deserialize_any(Number)
+}
+
+/// Reads a time that may be written with a fraction, which is cut off.
+fn time<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
+    let time = number(input)?;
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "negative times become zero, which the check refuses"
+    )]
+    Ok(time as u64)
+}
+
 impl Default for EntrySettings {
     fn default() -> Self {
         let local = |port| SocketAddr::from(([127, 0, 0, 1], port));
@@ -58,6 +114,8 @@
             metrics: local(8091),
             store: local(8182),
             advice: String::new(),
+            share: 1.0,
+            cores: 1.0,
             bounds: EntryBounds::default(),
         }
     }
@@ -74,6 +132,13 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns how many cores the gate may use.
+    pub fn processors(&self) -> f64 {
+        self.share * self.cores
+    }
+}
+
 impl Check for EntrySettings {
     fn check(&self, problems: &mut Problems) {
         if self.gate.as_str().is_empty() {
@@ -86,6 +151,11 @@
                 "ADDRESS:PORT or nothing",
             );
         }
+        for (name, value) in [("share", self.share), ("cores", self.cores)] {
+            if !(value > 0.0 && value.is_finite()) {
+                problems.add(Path::of(name), value.to_string(), "a number above zero");
+            }
+        }
         let bounds = Path::of("bounds");
         for (name, value) in [
             ("task_lease_ms", self.bounds.task_lease_ms),
--- /dev/null
+++ b/wigeongate-config/tests/entry.rs
@@ -0,0 +1,51 @@
+//! The settings of a gate on an entry host.
+
+use wigeongate_config::entry::EntrySettings;
+use wigeongate_config::load::parse;
+
+/// Numbers as the platform writes them, and what they mean.
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    processors: f64,
+    grace_s: u64,
+}
+
+#[test]
+fn numbers_may_have_fractions() {
+    let cases = [
+        Case {
+            name: "whole numbers",
+            text: "share: 1\ncores: 2\nbounds:\n  grace_s: 6\n",
+            processors: 2.0,
+            grace_s: 6,
+        },
+        Case {
+            name: "fractions",
+            text: "share: 0.25\ncores: 1.0\nbounds:\n  grace_s: 6.5\n",
+            processors: 0.25,
+            grace_s: 6,
+        },
+    ];
+    for case in cases {
+        let settings: EntrySettings =
+            parse("gate.yaml", case.text).unwrap_or_else(|wrong| panic!("{}: {wrong}", case.name));
+        assert!(
+            (settings.processors() - case.processors).abs() < 1e-9,
+            "{}: {}",
+            case.name,
+            settings.processors()
+        );
+        assert_eq!(settings.bounds.grace_s, case.grace_s, "{}", case.name);
+    }
+}
+
+#[test]
+fn numbers_of_zero_or_less_are_refused() {
+    for text in ["share: 0\n", "cores: -1\n", "bounds:\n  grace_s: 0.5\n"] {
+        assert!(
+            parse::<EntrySettings>("gate.yaml", text).is_err(),
+            "{text:?}"
+        );
+    }
+}
--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -15,6 +15,7 @@
 mod restore;
 mod rules;
 mod spec;
+mod takeover;
 
 pub use advice_gates::AdviceGates;
 pub use director::{Director, DirectorSettings};
@@ -24,6 +25,7 @@
 pub use restore::Record;
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
 pub use spec::{Repeat, StepId, StepSpec, TaskName, Workflow, WorkflowId, WorkflowSpec};
+pub use takeover::takeover_wait;
 
 pub use self::host::HostEntry;
 pub use self::job::Shown;
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -9,7 +9,7 @@
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
     Action, AdviceGates, Director, DirectorSettings, How, Look, Running, Shown, StepId, StepSpec,
-    TaskName, WorkflowId,
+    TaskName, WorkflowId, takeover_wait,
 };
 
 use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
@@ -417,3 +417,12 @@
         })
         .collect()
 }
+
+#[test]
+fn a_large_host_takes_over_before_a_small_one() {
+    for random in 0..1_000 {
+        for large in [0.25, 0.5, 4.0] {
+            assert!(takeover_wait(large, random) < takeover_wait(0.12, 999 - random));
+        }
+    }
+}
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::WorkflowId;
+use wigeongate_core::workflow::{WorkflowId, takeover_wait};
 use wigeongate_platform::http::CallError;
 use wigeongate_platform::store::{Change, Committed, Item, Txn};
 
@@ -42,9 +42,6 @@
 /// The pause between them, in milliseconds.
 const REFUSAL_MS: u64 = 30;
 
-/// How long followers wait on average before they take over, in milliseconds, so that few try.
-const SPREAD_MS: u64 = 60;
-
 /// Follows the ownership and takes it over when it is free, until the process ends.
 pub async fn follow(shared: Arc<Shared>, adviser: Arc<Adviser>, stop: Arc<Notify>) {
     let process = rand::random();
@@ -83,9 +80,11 @@
             if shared.is_stopping() || shared.manifest.load().is_none() {
                 sleep(Duration::from_millis(PAUSE_MS)).await;
             } else {
-                let spread = rand::random::<u64>() % (2 * SPREAD_MS);
-                sleep(Duration::from_millis(spread)).await;
-                if take_over(shared, adviser, process, stop).await? {
+                let wait = takeover_wait(shared.settings.processors(), rand::random());
+                sleep(Duration::from_millis(wait.0)).await;
+                // Another gate may have taken over meanwhile: a look costs less than a lease.
+                let (held, _) = shared.store.range(OWNER).await?;
+                if held.is_empty() && take_over(shared, adviser, process, stop).await? {
                     return Ok(());
                 }
             }
