Put single tasks beside others, and let gangs ask early and at many gates

Questions for single tasks named the emptiest hosts first, so at 73% of the room in use hardly a host held a task of a gang (18 of 64 cores); a gang asked one question at a time, only while room was free, and began anew to keep room on other hosts in each pass.

Change: single tasks ask about hosts with the least room; a wide step asks at several gates at a time (one for each 8); gangs ask before there is room, until good hosts hold twice their tasks, and go on keeping the room that they began to keep. Passes rest four times their own time (was: none below 48 steps) and take a step's needs by reference.

--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -55,6 +55,11 @@
         gate.heard = now;
     }
 
+    /// Returns how many gates there are.
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+
     /// Chooses the gate with the shortest backlog for a question; returns its address (`None` for
     /// this gate) and the backlog with the question, in milliseconds.
     pub fn take(&mut self, cost_ms: u64, now: Millis) -> Option<(Option<String>, u64)> {
--- a/wigeongate-core/src/workflow/advise.rs
+++ b/wigeongate-core/src/workflow/advise.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use super::director::Director;
-use super::host::Reserved;
+use super::host::{Host, Reserved};
 use super::message::{Action, Advice};
 use super::places::Need;
-use super::rules::AdviceCost;
+use super::rules::{AdviceCost, QueueRules};
 use super::spec::StepId;
 use crate::ids::HostId;
+use crate::resources::Resources;
 use crate::time::Millis;
 
 /// The most hosts that one question names; the objective of a job counts a call on so many.
@@ -29,50 +30,60 @@
 /// How long room is kept beyond the time that a question takes, in milliseconds.
 const KEPT_MS: u64 = 300;
 
+/// For how many gates one more question about a step is asked at a time: others need them too.
+const GATES_A_QUESTION: usize = 8;
+
 impl Director {
     /// Asks about hosts for a step whose tasks found no place among those with a ticket.
     pub(super) fn ask(
         &mut self,
-        need: &Need<'_>,
+        at: StepId,
+        rules: &QueueRules,
         cost: AdviceCost,
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        let Some(hosts) = self.question(need, now) else {
+        let Some(need) = self.need(at, rules, now) else {
             return;
         };
-        #[expect(clippy::cast_precision_loss, reason = "at most 100 hosts are named")]
-        let taken = cost.host_ms.mul_add(hosts.len() as f64, cost.call_ms);
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a call takes milliseconds to seconds"
-        )]
-        let cost_ms = taken.max(0.0) as u64;
-        if need.gang {
-            self.keep_known(need, now + Millis(cost_ms + KEPT_MS));
+        let gang = need.gang;
+        let Some(hosts) = self.question(&need, cost, now) else {
+            return;
+        };
+        let questions = hosts.len().div_ceil(MOST_HOSTS);
+        let each = hosts.len().div_ceil(questions);
+        let cost_ms = taken_ms(cost, each);
+        if gang {
+            self.keep(at, rules, now + Millis(cost_ms + KEPT_MS), now);
         }
-        let Some(step) = self.step(need.step) else {
+        let Some(step) = self.step(at) else {
             return;
         };
-        step.known.asked = Some(now);
+        step.known.asking.extend(hosts.iter().cloned());
         step.known.pause = now + Millis(cost_ms + OVERDUE_MS);
-        out.push(Action::Advise {
-            step: need.step,
-            hosts,
-            cost_ms,
-        });
+        for hosts in hosts.chunks(each) {
+            out.push(Action::Advise {
+                step: at,
+                hosts: hosts.to_vec(),
+                cost_ms,
+            });
+        }
+    }
+
+    /// Returns the most hosts that the questions asked at a time about a step name.
+    fn most_hosts(&self) -> usize {
+        MOST_HOSTS * (self.advisers / GATES_A_QUESTION).max(1)
     }
 
     /// Returns the hosts to ask about, or `None` when a question would not help now.
-    fn question(&self, need: &Need<'_>, now: Millis) -> Option<Vec<HostId>> {
+    fn question(&self, need: &Need<'_>, cost: AdviceCost, now: Millis) -> Option<Vec<HostId>> {
         let known = need.known?;
-        if known.asked.is_some() || known.pause > now {
+        if !known.asking.is_empty() || known.pause > now {
             return None;
         }
         let mut again: Vec<(u64, HostId)> = Vec::new();
         let mut fresh: Vec<(u64, HostId)> = Vec::new();
-        let mut good_room = 0;
+        let (mut good_room, mut good_most) = (0, 0);
         for (id, host) in &self.hosts {
             if known.bad.contains(id) || !self.may_run(host, need, now) {
                 continue;
@@ -80,6 +91,7 @@
             let count = self.room(host, need, now);
             if known.good.contains_key(id) {
                 good_room += count;
+                good_most += Self::most_tasks(host, need);
                 if count > 0 {
                     again.push((count, id.clone()));
                 }
@@ -87,47 +99,104 @@
                 fresh.push((count, id.clone()));
             }
         }
-        let wanted = u64::from(need.count);
         again.sort_by(|one, other| other.cmp(one));
-        let enough = if need.gang { wanted } else { 1 };
-        if good_room >= enough {
-            let mut covered = 0;
-            let named = again.into_iter().take_while(|(count, _)| {
-                let goes_on = covered < wanted;
-                covered += count;
-                goes_on
+        if need.gang {
+            fresh.sort_by(|one, other| other.cmp(one));
+        } else {
+            // Tasks that fit beside others leave empty hosts to gangs.
+            fresh.sort_by_cached_key(|(_, id)| {
+                let host = self.hosts.get(id);
+                let free = host.map(|host| host.free(need.step, need.priority, now).cpu);
+                (free, id.clone())
             });
-            return Some(named.map(|(_, id)| id).take(MOST_HOSTS).collect());
         }
-        let first = known.good.is_empty() && known.bad.is_empty();
+        let wanted = u64::from(need.count);
+        if good_room >= if need.gang { wanted } else { 1 } {
+            return self.stale(need, cost, again);
+        }
         let fresh_room: u64 = fresh.iter().map(|(count, _)| *count).sum();
-        if fresh.is_empty() || (fresh_room == 0 && !(first && need.gang)) {
+        if fresh.is_empty() || (fresh_room == 0 && !need.gang) {
             return None;
         }
-        fresh.sort_by(|one, other| other.cmp(one));
-        let number = self.enough_hosts(need, &fresh, wanted.saturating_sub(good_room));
+        let missing = wanted.saturating_sub(good_room);
+        if need.gang && !self.expects(need, fresh_room, missing) {
+            // No host has room: room is kept on good ones, twice as much as the gang needs.
+            let missing = (2 * wanted).saturating_sub(good_most);
+            let counts = fresh.iter().filter_map(|(_, id)| self.hosts.get(id));
+            let counts = counts.map(|host| Self::most_tasks(host, need));
+            let number = self.hosts_for(need, counts, missing);
+            fresh.truncate(number);
+            return (number > 0).then(|| fresh.into_iter().map(|(_, id)| id).collect());
+        }
+        // Half as much again, since the share of good hosts is a mean.
+        let counts = fresh.iter().map(|(count, _)| *count);
+        let number = self.hosts_for(need, counts, missing + missing / 2);
         fresh.truncate(number);
+        let most = self.most_hosts();
         let mut named: Vec<HostId> = again.into_iter().map(|(_, id)| id).collect();
-        named.truncate(MOST_HOSTS / 2);
+        named.truncate(most / 2);
         named.extend(fresh.into_iter().map(|(_, id)| id));
-        named.truncate(MOST_HOSTS);
+        named.truncate(most);
         Some(named)
     }
 
-    /// Returns how many of the hosts have to be named so that the good ones have room.
-    fn enough_hosts(&self, need: &Need<'_>, fresh: &[(u64, HostId)], wanted: u64) -> usize {
+    /// Returns the good hosts to start on whose tickets end before an answer could come.
+    fn stale(
+        &self,
+        need: &Need<'_>,
+        cost: AdviceCost,
+        good: Vec<(u64, HostId)>,
+    ) -> Option<Vec<HostId>> {
+        let wanted = u64::from(need.count);
+        let mut covered = 0;
+        let covers = good.into_iter().take_while(|(count, _)| {
+            let goes_on = covered < wanted;
+            covered += count;
+            goes_on
+        });
+        let mut named: Vec<HostId> = covers.map(|(_, id)| id).take(self.most_hosts()).collect();
+        let until = need.now + Millis(taken_ms(cost, named.len()) + TICKET_MARGIN_MS);
+        named.retain(|id| {
+            let ticket = need.known.and_then(|known| known.good.get(id));
+            ticket.is_none_or(|(_, end)| *end <= until)
+        });
+        (!named.is_empty()).then_some(named)
+    }
+
+    /// Returns how many tasks of a step an empty host would take.
+    fn most_tasks(host: &Host, need: &Need<'_>) -> u64 {
+        let tasks = host.entry.capacity.count(&need.size);
+        if need.per_host > 0 {
+            tasks.min(u64::from(need.per_host))
+        } else {
+            tasks
+        }
+    }
+
+    /// Returns whether hosts that are not known may have room for so many tasks.
+    fn expects(&self, need: &Need<'_>, room: u64, wanted: u64) -> bool {
+        #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
+        let (room, wanted) = (room as f64, wanted as f64);
+        room * self.good_share(need) >= wanted
+    }
+
+    /// Returns how many of the hosts have to be named so that the good ones take so many tasks.
+    fn hosts_for(&self, need: &Need<'_>, counts: impl Iterator<Item = u64>, wanted: u64) -> usize {
+        if wanted == 0 {
+            return 0;
+        }
         let share = self.good_share(need);
+        let most = self.most_hosts();
         let mut expected = 0.0;
-        for (at, (count, _)) in fresh.iter().enumerate() {
+        for (at, count) in counts.enumerate().take(most) {
             #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
-            let (count, wanted) = (*count as f64, wanted as f64);
+            let (count, wanted) = (count as f64, wanted as f64);
             expected += count * share;
-            // Half as much again, since the share is a mean.
-            if expected >= 1.5 * wanted {
+            if expected >= wanted {
                 return (at + 1).max(LEAST_HOSTS);
             }
         }
-        MOST_HOSTS
+        most
     }
 
     fn good_share(&self, need: &Need<'_>) -> f64 {
@@ -140,53 +209,59 @@
         f64::from(good + 1) / f64::from(named + 2)
     }
 
-    /// Keeps the room of good hosts for a gang while their tickets are renewed.
-    fn keep_known(&mut self, need: &Need<'_>, until: Millis) {
-        let Some(known) = need.known else { return };
-        let good: Vec<HostId> = known.good.keys().cloned().collect();
-        self.keep(need, good, until);
+    /// Keeps room for a gang on as many of the hosts that it may run on as its tasks need.
+    pub(super) fn keep(&mut self, at: StepId, rules: &QueueRules, until: Millis, now: Millis) {
+        let Some(need) = self.need(at, rules, now) else {
+            return;
+        };
+        let (step, priority) = (need.step, need.priority);
+        for (id, size) in self.reservations(&need) {
+            if let Some(host) = self.hosts.get_mut(&id) {
+                host.reserved = Some(Reserved {
+                    step,
+                    priority,
+                    size,
+                    until,
+                });
+            }
+        }
     }
 
-    /// Keeps room on as many of the hosts as the waiting tasks need.
-    pub(super) fn keep(&mut self, need: &Need<'_>, hosts: Vec<HostId>, until: Millis) {
+    /// Returns how much room to keep on which hosts.
+    fn reservations(&self, need: &Need<'_>) -> Vec<(HostId, Resources)> {
         let now = need.now;
-        let mut left = u64::from(need.count);
-        let mut ranked: Vec<(u64, HostId)> = hosts
-            .into_iter()
-            .filter_map(|id| {
-                let host = self.hosts.get(&id)?;
-                let allowed = self.may_run(host, need, now);
-                allowed.then(|| (self.room(host, need, now), id))
+        let is_theirs = |host: &Host| {
+            host.reserved.is_some_and(|reserved| {
+                reserved.until > now
+                    && reserved.step != need.step
+                    && reserved.priority <= need.priority
+            })
+        };
+        let is_ours = |host: &Host| host.reserved.is_some_and(|it| it.step == need.step);
+        let mut ranked: Vec<(u64, &HostId, &Host)> = self
+            .hosts
+            .iter()
+            .filter(|(id, host)| {
+                need.known.is_none_or(|known| known.good.contains_key(*id))
+                    && self.may_run(host, need, now)
+                    && !is_theirs(host)
             })
+            .map(|(id, host)| (self.room(host, need, now), id, host))
             .collect();
-        ranked.sort_by(|one, other| other.cmp(one));
-        for (_, id) in ranked {
+        ranked.sort_by_key(|(room, id, host)| {
+            (!is_ours(host), std::cmp::Reverse(*room), (*id).clone())
+        });
+        let mut left = u64::from(need.count);
+        let mut kept = Vec::new();
+        for (_, id, host) in ranked {
             if left == 0 {
                 break;
             }
-            let Some(host) = self.hosts.get_mut(&id) else {
-                continue;
-            };
-            let theirs = host.reserved.is_some_and(|reserved| {
-                reserved.until > now
-                    && reserved.step != need.step
-                    && reserved.priority <= need.priority
-            });
-            if theirs {
-                continue;
-            }
-            let mut tasks = host.entry.capacity.count(&need.size).min(left);
-            if need.per_host > 0 {
-                tasks = tasks.min(u64::from(need.per_host));
-            }
+            let tasks = Self::most_tasks(host, need).min(left);
             left -= tasks;
-            host.reserved = Some(Reserved {
-                step: need.step,
-                priority: need.priority,
-                size: need.size.times(tasks),
-                until,
-            });
+            kept.push((id.clone(), need.size.times(tasks)));
         }
+        kept
     }
 
     /// Takes in an answer about the hosts that were named; `None` when there was none.
@@ -194,7 +269,9 @@
         self.dirty = true;
         let queue = self.jobs.get(&at.job).map(|job| job.flow.queue.clone());
         let Some(step) = self.step(at) else { return };
-        step.known.asked = None;
+        for id in named {
+            step.known.asking.remove(id);
+        }
         let Some(advice) = advice else {
             step.known.pause = now + Millis(RETRY_MS);
             return;
@@ -217,3 +294,16 @@
         }
     }
 }
+
+/// Returns how long a question that names so many hosts takes, in milliseconds.
+fn taken_ms(cost: AdviceCost, hosts: usize) -> u64 {
+    #[expect(clippy::cast_precision_loss, reason = "at most 100 hosts are named")]
+    let taken = cost.host_ms.mul_add(hosts as f64, cost.call_ms);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a call takes milliseconds to seconds"
+    )]
+    let taken_ms = taken.max(0.0) as u64;
+    taken_ms
+}
--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -71,7 +71,7 @@
     pub(super) settings: DirectorSettings,
     pub(super) rules: Arc<Rules>,
     /// Rules of queues that the configuration has dropped; accepted jobs keep them.
-    pub(super) queues: HashMap<QueueId, QueueRules>,
+    pub(super) queues: HashMap<QueueId, Arc<QueueRules>>,
     pub(super) hosts: HashMap<HostId, Host>,
     pub(super) jobs: HashMap<WorkflowId, Job>,
     /// Steps with tasks that wait and may start.
@@ -94,6 +94,8 @@
     /// Jobs that wait for the time of an occurrence.
     pub(super) due: BTreeSet<(u64, StepId)>,
     pub(super) wall: u64,
+    /// How many gates may ask for advice.
+    pub(super) advisers: usize,
     /// Hosts that advice called good and that it was asked about, for each queue.
     pub(super) good_shares: HashMap<QueueId, (u32, u32)>,
     /// Whether something changed that may let work start.
@@ -114,12 +116,22 @@
     /// Puts a version of the configuration in force.
     pub fn configure(&mut self, rules: Arc<Rules>) {
         for (queue, rule) in &rules.queues {
-            self.queues.insert(queue.clone(), rule.clone());
+            self.queues.insert(queue.clone(), Arc::new(rule.clone()));
         }
         self.rules = rules;
         self.dirty = true;
     }
 
+    /// Takes in how many gates may ask for advice.
+    pub const fn set_advisers(&mut self, gates: usize) {
+        self.advisers = gates;
+    }
+
+    /// Returns whether something changed that may let work start.
+    pub const fn is_dirty(&self) -> bool {
+        self.dirty
+    }
+
     /// Takes in what the registry says of a host.
     pub fn list(&mut self, entry: HostEntry, now: Millis) {
         self.dirty = true;
@@ -199,11 +211,6 @@
         self.jobs.values().filter(waits).count()
     }
 
-    /// Returns how many steps have tasks that wait.
-    pub fn waiting(&self) -> usize {
-        self.ready.len()
-    }
-
     /// Returns how many jobs have not ended.
     pub fn open(&self) -> usize {
         self.jobs.values().filter(|job| job.end.is_none()).count()
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -70,8 +70,8 @@
     pub good: HashMap<HostId, (Arc<str>, Millis)>,
     /// Hosts that were named and may not.
     pub bad: HashSet<HostId>,
-    /// When the question under way was asked.
-    pub asked: Option<Millis>,
+    /// Hosts that the questions under way name.
+    pub asking: HashSet<HostId>,
     /// No question is asked before this.
     pub pause: Millis,
 }
@@ -248,17 +248,6 @@
         }
     }
 
-    /// Makes a step of the same demand that has no tasks.
-    pub fn like(spec: &StepSpec, waiting: u32) -> Self {
-        Self {
-            waiting,
-            ..Self::new(&StepSpec {
-                count: 0,
-                ..spec.clone()
-            })
-        }
-    }
-
     /// Returns a task by its place.
     pub fn task(&mut self, index: u32) -> Option<&mut Task> {
         self.tasks.get_mut(usize::try_from(index).ok()?)
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -4,9 +4,8 @@
 
 use super::director::Director;
 use super::host::{Claim, Stage};
-use super::job::{Phase, Step};
+use super::job::Phase;
 use super::message::{Action, StartOrder};
-use super::places::Need;
 use super::restore::Record;
 use super::rules::QueueRules;
 use super::spec::{StepId, TaskName};
@@ -125,44 +124,16 @@
         }
     }
 
-    /// Runs a question about the step with what it needs; the step's knowledge is taken out
-    /// meanwhile.
-    fn with_need<T>(
-        &mut self,
-        at: StepId,
-        rules: &QueueRules,
-        now: Millis,
-        ask: impl FnOnce(&mut Self, &Need<'_>) -> T,
-    ) -> Option<T> {
-        let queue = self.jobs.get(&at.job)?.flow.queue.clone();
-        let step = self.step(at)?;
-        let known = std::mem::take(&mut step.known);
-        let shape = Step::like(&step.spec, step.waiting);
-        let need = Need {
-            known: rules.advice.map(|_| &known),
-            ..Need::of(at, &shape, &queue, rules, now)
-        };
-        let answer = ask(self, &need);
-        let step = self.step(at)?;
-        let asked = std::mem::take(&mut step.known);
-        step.known = known;
-        if asked.asked.is_some() {
-            step.known.asked = asked.asked;
-            step.known.pause = asked.pause;
-        }
-        Some(answer)
-    }
-
     fn place_tasks(&mut self, at: StepId, rules: &QueueRules, now: Millis, out: &mut Vec<Action>) {
         let waiting = self.waiting_tasks(at);
         for (index, failed_on) in waiting {
             if !self.within_limit(at, 1) {
                 return;
             }
-            let host = self.with_need(at, rules, now, |director, need| {
-                director.best_host(need, failed_on.as_ref())
-            });
-            match host.flatten() {
+            let host = self
+                .need(at, rules, now)
+                .and_then(|need| self.best_host(&need, failed_on.as_ref()));
+            match host {
                 Some(host) => self.start(TaskName { step: at, index }, &host, now, out),
                 None => break,
             }
@@ -174,9 +145,7 @@
             && let Some(cost) = rules.advice
             && self.promise(&rules.service, size.times(u64::from(left)))
         {
-            self.with_need(at, rules, now, |director, need| {
-                director.ask(need, cost, now, out);
-            });
+            self.ask(at, rules, cost, now, out);
         }
     }
 
@@ -204,8 +173,8 @@
             return;
         }
         let hosts = self
-            .with_need(at, rules, now, |director, need| director.gang_hosts(need))
-            .flatten();
+            .need(at, rules, now)
+            .and_then(|need| self.gang_hosts(&need));
         if let Some(hosts) = hosts {
             if let Some(step) = self.step(at) {
                 let run = step.run();
@@ -220,21 +189,14 @@
             return;
         }
         let size = self.step(at).map_or(Resources::ZERO, |step| step.spec.size);
-        let room = self.promise(&rules.service, size.times(u64::from(count)));
-        let cost = rules.advice.filter(|_| room);
-        self.with_need(at, rules, now, |director, need| {
-            if let Some(cost) = cost {
-                director.ask(need, cost, now, out);
-            }
-            // A late gang takes what is left over.
-            if lateness == 0 {
-                let hosts = match need.known {
-                    Some(known) => known.good.keys().cloned().collect(),
-                    None => director.hosts.keys().cloned().collect(),
-                };
-                director.keep(need, hosts, now + Millis(KEEP_MS));
-            }
-        });
+        self.promise(&rules.service, size.times(u64::from(count)));
+        if let Some(cost) = rules.advice {
+            self.ask(at, rules, cost, now, out);
+        }
+        // A late gang takes what is left over.
+        if lateness == 0 {
+            self.keep(at, rules, now + Millis(KEEP_MS), now);
+        }
     }
 
     fn unreserve(&mut self, at: StepId) {
--- a/wigeongate-core/src/workflow/places.rs
+++ b/wigeongate-core/src/workflow/places.rs
@@ -74,6 +74,22 @@
 }
 
 impl Director {
+    /// Describes what the waiting tasks of a step need.
+    pub(super) fn need<'a>(
+        &'a self,
+        at: StepId,
+        rules: &'a QueueRules,
+        now: Millis,
+    ) -> Option<Need<'a>> {
+        let job = self.jobs.get(&at.job)?;
+        let step = job
+            .occurrences
+            .get(usize::try_from(at.occurrence).ok()?)?
+            .steps
+            .get(usize::from(at.step))?;
+        Some(Need::of(at, step, &job.flow.queue, rules, now))
+    }
+
     /// Returns whether a host may run a step at all, with room or without.
     pub(super) fn may_run(&self, host: &Host, need: &Need<'_>, now: Millis) -> bool {
         host.takes_work(now)
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -1,5 +1,6 @@
 //! Jobs of several steps on fake executors: directed cases, and random days with faults.
 
+mod advice;
 mod world;
 
 use std::sync::Arc;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -6,7 +6,7 @@
 
 use eyre::Result;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
 use wigeongate_core::collections::HashMap;
 use wigeongate_core::ids::HostId;
@@ -36,12 +36,9 @@
 /// What an issued ticket is shortened by for its way here, in milliseconds.
 const TICKET_WAY_MS: u64 = 30;
 
-/// How many waiting steps a pass may go through whenever something happens.
-const FEW_STEPS: usize = 48;
-
-/// The time between passes through more steps, in milliseconds: a pass over hundreds takes about
-/// one, of a quarter of a core.
-const PASS_EVERY_MS: u64 = 20;
+/// How long a pass is followed by none, in multiples of the time that it took: the calls to
+/// executors need most of the processor.
+const PASS_REST_TIMES: u32 = 4;
 
 /// Something that the owner takes in.
 #[derive(Debug)]
@@ -110,8 +107,8 @@
     cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     jobs_revision: u64,
     fenced: bool,
-    /// When the last pass was made.
-    passed: Millis,
+    /// No pass is made before this.
+    next_pass: Instant,
     starts: HashMap<TaskName, Millis>,
 }
 
@@ -150,7 +147,7 @@
             cancels: Vec::new(),
             jobs_revision: 0,
             fenced: false,
-            passed: Millis::ZERO,
+            next_pass: Instant::now(),
             starts: HashMap::default(),
         };
         (owner, receiver)
@@ -189,17 +186,13 @@
                     self.director.tick(self.shared.now(), wall(), &mut actions);
                     self.clean();
                 }
+                () = sleep_until(self.next_pass), if self.may_pass() => {}
             }
-            let now = self.shared.now();
-            let rest = if self.director.waiting() > FEW_STEPS {
-                PASS_EVERY_MS
-            } else {
-                0
-            };
-            let may_start = self.valid.load(Ordering::Relaxed) && !self.log.is_behind();
-            if may_start && now.since(self.passed).0 >= rest {
-                self.passed = now;
-                self.director.place(now, &mut actions);
+            let begun = Instant::now();
+            if begun >= self.next_pass && self.may_pass() {
+                self.director.set_advisers(self.gates.count());
+                self.director.place(self.shared.now(), &mut actions);
+                self.next_pass = begun + begun.elapsed() * (1 + PASS_REST_TIMES);
             }
             for action in actions.drain(..) {
                 self.carry_out(action);
@@ -209,6 +202,11 @@
         Ok(())
     }
 
+    /// Returns whether something may start.
+    fn may_pass(&self) -> bool {
+        self.director.is_dirty() && self.valid.load(Ordering::Relaxed) && !self.log.is_behind()
+    }
+
     /// Reads accepted jobs and the log.
     async fn load(&mut self) -> Result<()> {
         let begun = self.shared.now();
