Hold what frees up of a team's limit for urgent narrow steps

Gangs above their team's limit were started when nothing else of the team ran: over the limit all the same.

Change: within a pass, room of a limit is held for a step that waits for it, unless it is late or wants more than an eighth; gangs ask only while there is room, and about hosts with room.

--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -10,13 +10,17 @@
 use super::rules::QueueRules;
 use super::spec::{StepId, TaskName};
 use crate::collections::HashMap;
-use crate::ids::HostId;
+use crate::ids::{HostId, TeamId};
 use crate::resources::Resources;
 use crate::time::Millis;
 
 /// How long room is kept for a gang that waits, in milliseconds; each pass renews it.
 const KEEP_MS: u64 = 400;
 
+/// What part of a team's limit is held for a step that waits for it: one in so many. The rest of
+/// the team's work stands still meanwhile.
+const HELD_PART: u64 = 8;
+
 /// The most steps that one pass tries: with more, the fleet is full for seconds.
 const MOST_STEPS: usize = 256;
 
@@ -25,6 +29,8 @@
 pub(super) struct Pass {
     /// Free room of each service that no step before in the pass needs.
     room: HashMap<String, Resources>,
+    /// Room within each team's limit that steps before in the pass wait for.
+    held: HashMap<TeamId, Resources>,
 }
 
 /// The place of a step in a pass; the smallest goes first.
@@ -46,6 +52,7 @@
         steps.sort_unstable();
         self.pass = Pass {
             room: self.rooms(now, |one, other| one + other),
+            held: HashMap::default(),
         };
         for (lateness, _, _, step) in steps.into_iter().take(MOST_STEPS) {
             self.place_step(step, lateness, now, out);
@@ -120,14 +127,22 @@
                 self.place_gang(at, &rules, lateness, now, out);
             }
         } else {
-            self.place_tasks(at, &rules, now, out);
+            self.place_tasks(at, &rules, lateness, now, out);
         }
     }
 
-    fn place_tasks(&mut self, at: StepId, rules: &QueueRules, now: Millis, out: &mut Vec<Action>) {
+    fn place_tasks(
+        &mut self,
+        at: StepId,
+        rules: &QueueRules,
+        lateness: u32,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
         let waiting = self.waiting_tasks(at);
         for (index, failed_on) in waiting {
             if !self.within_limit(at, 1) {
+                self.hold_limit(at, lateness);
                 return;
             }
             let host = self
@@ -170,6 +185,7 @@
     ) {
         let count = self.step(at).map_or(0, |step| step.waiting);
         if !self.within_limit(at, count) {
+            self.hold_limit(at, lateness);
             return;
         }
         let hosts = self
@@ -189,8 +205,8 @@
             return;
         }
         let size = self.step(at).map_or(Resources::ZERO, |step| step.spec.size);
-        self.promise(&rules.service, size.times(u64::from(count)));
-        if let Some(cost) = rules.advice {
+        let room = self.promise(&rules.service, size.times(u64::from(count)));
+        if let Some(cost) = rules.advice.filter(|_| room) {
             self.ask(at, rules, cost, now, out);
         }
         // A late gang takes what is left over.
@@ -220,25 +236,42 @@
 
     /// Returns whether a team may start so many more tasks of a step.
     fn within_limit(&self, at: StepId, count: u32) -> bool {
-        let Some(job) = self.jobs.get(&at.job) else {
-            return false;
-        };
-        let Some(team) = &job.flow.team else {
+        let Some((team, maximum, size)) = self.limit(at) else {
             return true;
         };
-        let Some(maximum) = self.rules.teams.get(team).map(|team| team.maximum) else {
-            return true;
+        let used = |rooms: &HashMap<TeamId, Resources>| rooms.get(team).copied();
+        let usage = used(&self.usage).unwrap_or_default();
+        let held = used(&self.pass.held).unwrap_or_default();
+        (usage + held + size.times(u64::from(count))).fits_in(&maximum)
+    }
+
+    /// Lets no step that comes later in the pass take what frees up of a team's limit, unless the
+    /// step is late or wide.
+    fn hold_limit(&mut self, at: StepId, lateness: u32) {
+        let waiting = self.step(at).map_or(0, |step| step.waiting);
+        let Some((team, maximum, size)) = self.limit(at) else {
+            return;
         };
-        let size = usize::try_from(at.occurrence)
-            .ok()
-            .and_then(|occurrence| job.occurrences.get(occurrence))
-            .and_then(|occurrence| occurrence.steps.get(usize::from(at.step)))
-            .map(|step| step.spec.size)
-            .unwrap_or_default();
-        let usage = self.usage.get(team).copied().unwrap_or_default();
-        let wanted = size.times(u64::from(count));
-        // A gang above its team's limit could never start: it goes when nothing else runs.
-        (usage + wanted).fits_in(&maximum) || (usage.is_zero() && count > 1)
+        let wanted = size.times(u64::from(waiting));
+        if lateness > 0 || !wanted.times(HELD_PART).fits_in(&maximum) {
+            return;
+        }
+        let team = team.clone();
+        *self.pass.held.entry(team).or_default() += wanted;
+    }
+
+    /// Returns the team of a step, its limit, and what a task of the step takes of it; `None`
+    /// without a limit.
+    fn limit(&self, at: StepId) -> Option<(&TeamId, Resources, Resources)> {
+        let job = self.jobs.get(&at.job)?;
+        let team = job.flow.team.as_ref()?;
+        let maximum = self.rules.teams.get(team)?.maximum;
+        let step = job
+            .occurrences
+            .get(usize::try_from(at.occurrence).ok()?)?
+            .steps
+            .get(usize::from(at.step))?;
+        Some((team, maximum, step.spec.size))
     }
 
     fn start(&mut self, name: TaskName, id: &HostId, now: Millis, out: &mut Vec<Action>) {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -427,3 +427,80 @@
         }
     }
 }
+
+/// What waits at a team's limit, and how many tasks start when one ends.
+struct LimitCase {
+    name: &'static str,
+    urgent: StepSpec,
+    starts: usize,
+}
+
+#[test]
+fn freed_room_of_a_team_goes_to_what_is_more_urgent() {
+    let now = Millis(10_000);
+    let cases = [
+        LimitCase {
+            name: "a narrow gang waits for the rest of its room",
+            urgent: StepSpec {
+                gang: true,
+                ..step(2, CORE)
+            },
+            starts: 0,
+        },
+        LimitCase {
+            name: "a wide gang lets others go on",
+            urgent: StepSpec {
+                gang: true,
+                ..step(3, CORE)
+            },
+            starts: 1,
+        },
+        LimitCase {
+            name: "a gang above the limit never starts",
+            urgent: StepSpec {
+                gang: true,
+                ..step(17, CORE)
+            },
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut director = Director::new(DirectorSettings::default(), now);
+        let maximum = Resources {
+            cpu: 16 * CORE,
+            ..Resources::UNBOUNDED
+        };
+        director.configure(Arc::new(rules(3, maximum)));
+        director.list(host(0, 64 * CORE), now);
+        let id = HostId::from("w-0");
+        let mut actions = Vec::new();
+        let look = Look {
+            born: 1,
+            sent: now,
+            lease: now + Millis(3_000),
+            ..Look::default()
+        };
+        director.look(&id, &look, now, &mut actions);
+        director.submit(flow(1, vec![step(16, CORE)], None), now, Millis::ZERO);
+        director.place(now, &mut actions);
+        assert_eq!(starts(&actions), 16, "{}", case.name);
+        director.submit(flow(2, vec![case.urgent], None), now, Millis::ZERO);
+        let later = now + Millis(10);
+        director.submit(flow(3, vec![step(4, CORE)], None), later, Millis::ZERO);
+        actions.clear();
+        let ended = wigeongate_core::workflow::Ended {
+            number: 1,
+            task: task(1, 0, 0),
+            run: 1,
+            how: How::Done,
+            saved: String::new(),
+        };
+        let look = Look {
+            ended: vec![ended],
+            ..look
+        };
+        director.look(&id, &look, later, &mut actions);
+        director.place(later, &mut actions);
+        assert_eq!(starts(&actions), case.starts, "{}", case.name);
+    }
+}
