Order starts once their records are written

Change: the director hands out a start once its record is written; a replaced owner's writes fail, so the log names every run ever ordered. A planned start is given up without an order when its job ends, its host is to leave, its zone is evacuated, its ticket ends or a second has passed. Work that no record names starts at once after a takeover; waiting until every host was asked twice goes (trust, silent looks, relisting). The log is written every 15 ms (was 40).

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -12,6 +12,7 @@
 mod message;
 mod pass;
 mod places;
+mod plans;
 mod restore;
 mod rules;
 mod spec;
--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -1,12 +1,13 @@
 //! The state of a deployment and the events that change it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use super::host::{Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Shown, Step};
 use super::message::{Action, How, StopOrder};
 use super::pass::Pass;
+use super::plans::Plan;
 use super::restore::Record;
 use super::rules::{QueueRules, Rules};
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
@@ -23,14 +24,6 @@
 /// there is listed sooner in most cases.
 const SETTLE_MS: u64 = 150;
 
-/// How long after a takeover hosts may be missing from the registry that are up, in milliseconds:
-/// their entries are back within two seconds of an outage of the store.
-const RELISTED_MS: u64 = 2_500;
-
-/// After how many looks without an answer a new owner no longer waits for a host: an order may be
-/// carried out late, one of twenty at the worst.
-const SILENT_LOOKS: u32 = 2;
-
 /// The settings of a director.
 #[derive(Debug, Clone)]
 pub struct DirectorSettings {
@@ -78,9 +71,10 @@
     pub(super) ready: BTreeSet<StepId>,
     /// Room that each team takes.
     pub(super) usage: HashMap<TeamId, Resources>,
-    /// Whether every host has answered or its task leases have run out.
-    pub(super) trusted: bool,
+    /// When this owner took over.
     pub(super) taken: Millis,
+    /// Starts whose records are not written yet, in the order of the records.
+    pub(super) plans: VecDeque<Plan>,
     /// Runs that the log names, with their hosts, while it is read.
     pub(super) earlier: HashMap<RunKey, HostId>,
     /// Runs of jobs that are not known yet, with their hosts.
@@ -155,7 +149,6 @@
     pub fn prolong(&mut self, id: &HostId, lease: Millis) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.lease = host.lease.max(lease);
-            host.silent += 1;
         }
     }
 
@@ -217,8 +210,9 @@
     }
 
     /// Takes in that every record up to a number was written.
-    pub fn written(&mut self, number: u64, out: &mut Vec<Action>) {
+    pub fn written(&mut self, number: u64, now: Millis, out: &mut Vec<Action>) {
         self.written = self.written.max(number);
+        self.order_planned(now, out);
         let written = self.written;
         self.forgets.retain(|forget| {
             let ready = forget.record <= written;
@@ -238,9 +232,10 @@
         self.records
     }
 
-    /// Returns whether every host is known or has no task of an earlier owner left.
-    pub const fn trusted(&self) -> bool {
-        self.trusted
+    /// Returns how many listed hosts have not answered under this owner.
+    pub fn unknown_hosts(&self) -> usize {
+        let unknown = |host: &&Host| host.listed && !host.known;
+        self.hosts.values().filter(unknown).count()
     }
 
     /// Returns jobs that ended long enough ago to be forgotten.
@@ -266,7 +261,6 @@
         self.expire_hosts(now, out);
         self.press_stops(now, out);
         self.forget_hosts();
-        self.trust(now);
         self.dirty = true;
     }
 
@@ -352,26 +346,6 @@
             .retain(|_, host| host.listed || host.known || !host.claims.is_empty());
     }
 
-    pub(super) fn trust(&mut self, now: Millis) {
-        if self.trusted {
-            return;
-        }
-        let waited = now.since(self.taken) >= self.settings.task_lease;
-        // Entries that ended while the store was down are back soon after its return.
-        let back = now.since(self.taken).0 >= RELISTED_MS;
-        let asked = |host: &Host| {
-            host.known
-                || if host.listed {
-                    host.silent >= SILENT_LOOKS
-                } else {
-                    back || host.claims.is_empty()
-                }
-        };
-        let any = self.hosts.values().any(|host| host.listed);
-        self.trusted = waited || (any && self.hosts.values().all(asked));
-        self.dirty |= self.trusted;
-    }
-
     pub(super) fn record(&mut self, record: Record, out: &mut Vec<Action>) -> u64 {
         self.records += 1;
         out.push(Action::Record(record));
@@ -464,11 +438,16 @@
         else {
             return;
         };
+        let planned = claim.stage == Stage::Planned;
         if matches!(claim.stage, Stage::Doubt | Stage::Stopping) {
             return;
         }
         claim.stage = Stage::Stopping;
         claim.ordered = now;
+        if planned {
+            // It is released when its turn comes, without an order.
+            return;
+        }
         out.push(Action::Stop(StopOrder {
             host: id.clone(),
             task: run.0,
@@ -481,11 +460,6 @@
         self.step(name.step)?.task(name.index)
     }
 
-    /// Returns whether a job may not start anything yet.
-    pub(super) fn is_held(&self, job: &Job) -> bool {
-        job.end.is_some() || (job.inherited && !self.trusted)
-    }
-
     /// Marks a task as waiting again, if nothing of it takes room.
     pub(super) fn wait_again(&mut self, name: TaskName) {
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -48,7 +48,6 @@
             self.settle_earlier(id, look, now, out);
         }
         self.miss(id, look, now, out);
-        self.trust(now);
     }
 
     /// Ends the runs of an earlier boot and keeps those whose orders may still be carried out.
@@ -101,14 +100,8 @@
         let key = (running.task, running.run);
         let (size, wanted) = match self.jobs.get(&running.task.step.job) {
             Some(job) => {
-                let size = usize::try_from(running.task.step.occurrence)
-                    .ok()
-                    .and_then(|at| job.occurrences.get(at))
-                    .and_then(|occurrence| {
-                        occurrence.steps.get(usize::from(running.task.step.step))
-                    })
-                    .map(|step| step.spec.size)
-                    .unwrap_or_default();
+                let step = job.step(running.task.step);
+                let size = step.map(|step| step.spec.size).unwrap_or_default();
                 (size, job.end.is_none())
             }
             None => (crate::resources::Resources::ZERO, false),
@@ -254,7 +247,7 @@
                         run: key.1,
                     }));
                 }
-                Stage::Running | Stage::Ordered => {}
+                Stage::Running | Stage::Ordered | Stage::Planned => {}
             }
         }
         for key in gone {
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -42,6 +42,8 @@
 /// Where an ordered run stands on its host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
+    /// The start is ordered once its record is written.
+    Planned,
     /// The start was ordered and is not answered.
     Ordered,
     /// The start was answered, or the host lists the run.
@@ -92,8 +94,6 @@
     pub listed: bool,
     /// Whether it has answered under this owner's epoch, so that its runs are known.
     pub known: bool,
-    /// How many looks at it had no answer under this owner.
-    pub silent: u32,
     /// The boot that answered last.
     pub born: u64,
     /// Runs that take room.
@@ -122,7 +122,6 @@
             entry,
             listed: true,
             known: false,
-            silent: 0,
             born: 0,
             claims: HashMap::default(),
             used: Resources::ZERO,
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -170,6 +170,14 @@
         1 + u32::from(worthless)
     }
 
+    /// Returns the state of a step.
+    pub fn step(&self, at: super::StepId) -> Option<&Step> {
+        self.occurrences
+            .get(usize::try_from(at.occurrence).ok()?)?
+            .steps
+            .get(usize::from(at.step))
+    }
+
     /// Returns every run that takes room.
     pub fn runs(&self) -> Vec<(HostId, RunKey)> {
         let mut runs = Vec::new();
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -6,6 +6,7 @@
 use super::host::{Claim, Stage};
 use super::job::Phase;
 use super::message::{Action, StartOrder};
+use super::plans::Plan;
 use super::restore::Record;
 use super::rules::QueueRules;
 use super::spec::{StepId, TaskName};
@@ -91,15 +92,11 @@
 
     fn order(&self, at: StepId, now: Millis, room: &HashMap<String, Resources>) -> Option<Order> {
         let job = self.jobs.get(&at.job)?;
-        if self.is_held(job) {
+        if job.end.is_some() {
             return None;
         }
         let rules = self.queues.get(&job.flow.queue)?;
-        let step = job
-            .occurrences
-            .get(usize::try_from(at.occurrence).ok()?)?
-            .steps
-            .get(usize::from(at.step))?;
+        let step = job.step(at)?;
         if step.waiting == 0 || step.pause > now || step.breaking {
             return None;
         }
@@ -266,11 +263,7 @@
         let job = self.jobs.get(&at.job)?;
         let team = job.flow.team.as_ref()?;
         let maximum = self.rules.teams.get(team)?.maximum;
-        let step = job
-            .occurrences
-            .get(usize::try_from(at.occurrence).ok()?)?
-            .steps
-            .get(usize::from(at.step))?;
+        let step = job.step(at)?;
         Some((team, maximum, step.spec.size))
     }
 
@@ -309,21 +302,26 @@
                 (name, run),
                 Claim {
                     size,
-                    stage: Stage::Ordered,
+                    stage: Stage::Planned,
                     ordered: now,
                     stopped: None,
                     since: now,
                 },
             );
         }
-        self.record(Record::Started(name, run, id.clone()), out);
-        out.push(Action::Start(StartOrder {
+        let record = self.record(Record::Started(name, run, id.clone()), out);
+        let order = StartOrder {
             host: id.clone(),
             task: name,
             run,
             command,
             checkpoint,
             ticket,
-        }));
+        };
+        self.plans.push_back(Plan {
+            record,
+            decided: now,
+            order,
+        });
     }
 }
--- a/wigeongate-core/src/workflow/places.rs
+++ b/wigeongate-core/src/workflow/places.rs
@@ -82,12 +82,7 @@
         now: Millis,
     ) -> Option<Need<'a>> {
         let job = self.jobs.get(&at.job)?;
-        let step = job
-            .occurrences
-            .get(usize::try_from(at.occurrence).ok()?)?
-            .steps
-            .get(usize::from(at.step))?;
-        Some(Need::of(at, step, &job.flow.queue, rules, now))
+        Some(Need::of(at, job.step(at)?, &job.flow.queue, rules, now))
     }
 
     /// Returns whether a host may run a step at all, with room or without.
--- /dev/null
+++ b/wigeongate-core/src/workflow/plans.rs
@@ -0,0 +1,78 @@
+//! Starts that are ordered once their records are written.
+//!
+//! A new owner reads every record and therefore knows of every start that was ever ordered.
+
+use super::director::Director;
+use super::host::Stage;
+use super::message::{Action, How, StartOrder};
+use crate::time::Millis;
+
+/// How long after its decision a start is still ordered, in milliseconds: a host may be leaving
+/// and a zone evacuated by then, and bounds for both count in seconds.
+const STALE_MS: u64 = 1_000;
+
+/// How long before its end a ticket is no longer sent, in milliseconds: the way to the host.
+const TICKET_WAY_MS: u64 = 20;
+
+/// A start whose record is not written yet.
+#[derive(Debug)]
+pub struct Plan {
+    /// The number of its record.
+    pub record: u64,
+    /// When it was decided.
+    pub decided: Millis,
+    /// What to order.
+    pub order: StartOrder,
+}
+
+impl Director {
+    /// Orders the starts whose records are written, and gives up those that are no longer right.
+    pub(super) fn order_planned(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let written = self.written;
+        while let Some(mut plan) = self.plans.pop_front_if(|plan| plan.record <= written) {
+            let key = (plan.order.task, plan.order.run);
+            let is_right = self.is_right(&plan, now) && self.renew_ticket(&mut plan, now);
+            let Some(claim) = self
+                .hosts
+                .get_mut(&plan.order.host)
+                .and_then(|host| host.claims.get_mut(&key))
+            else {
+                // The host has ended or started anew since.
+                continue;
+            };
+            if claim.stage == Stage::Planned && is_right {
+                claim.stage = Stage::Ordered;
+                claim.ordered = now;
+                claim.since = now;
+                out.push(Action::Start(plan.order));
+            } else {
+                self.finish(&plan.order.host, key, How::Stopped, "", now, out);
+            }
+        }
+    }
+
+    /// Returns whether a planned start may still be ordered.
+    fn is_right(&self, plan: &Plan, now: Millis) -> bool {
+        let Some(host) = self.hosts.get(&plan.order.host) else {
+            return false;
+        };
+        let in_time = now.since(plan.decided).0 <= STALE_MS;
+        let evacuated = self.rules.evacuated.contains(&host.entry.zone);
+        in_time && !evacuated && host.takes_work(now)
+    }
+
+    /// Puts the newest ticket into an order that needs one; returns whether it is good.
+    fn renew_ticket(&self, plan: &mut Plan, now: Millis) -> bool {
+        if plan.order.ticket.is_none() {
+            return true;
+        }
+        let at = plan.order.task.step;
+        let step = self.jobs.get(&at.job).and_then(|job| job.step(at));
+        let Some((ticket, until)) = step.and_then(|step| step.known.good.get(&plan.order.host))
+        else {
+            return false;
+        };
+        plan.order.ticket = Some(ticket.clone());
+        *until > now + Millis(TICKET_WAY_MS)
+    }
+}
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -25,8 +25,8 @@
 /// The longest wait for an answer to a look beyond the wait for an end, in milliseconds.
 const ANSWER_MS: u64 = 900;
 
-/// The longest wait for the first answer, in milliseconds: a new owner starts inherited tasks only
-/// after every host has had its chance to answer.
+/// The longest wait for the first answer, in milliseconds: a new owner gives a host no work before
+/// it has answered, and asks again at once.
 const FIRST_MS: u64 = 400;
 
 /// The pause after a failed look, in milliseconds.
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -14,9 +14,9 @@
 use super::records::{Batch, OWNER, batch_key, encode};
 use super::shared::Shared;
 
-/// The shortest time between writes of the log, in milliseconds: every write is priced, and a
-/// short job's objective leaves some hundred milliseconds.
-const WRITE_EVERY_MS: u64 = 40;
+/// The shortest time between writes of the log, in milliseconds: every write is priced, and each
+/// start waits for one.
+const WRITE_EVERY_MS: u64 = 15;
 
 /// The most records in one write.
 const MOST_RECORDS: usize = 5_000;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -107,6 +107,8 @@
     cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     jobs_revision: u64,
     fenced: bool,
+    /// Whether every listed host has answered once.
+    settled: bool,
     /// No pass is made before this.
     next_pass: Instant,
     starts: HashMap<TaskName, Millis>,
@@ -147,6 +149,7 @@
             cancels: Vec::new(),
             jobs_revision: 0,
             fenced: false,
+            settled: false,
             next_pass: Instant::now(),
             starts: HashMap::default(),
         };
@@ -267,9 +270,9 @@
             Input::Hosts(list) => self.list(list),
             Input::Look(host, look) => {
                 self.note_ends(&host, &look);
-                let trusted = self.director.trusted();
                 self.director.look(&host, &look, now, actions);
-                if !trusted && self.director.trusted() {
+                if !self.settled && self.director.unknown_hosts() == 0 {
+                    self.settled = true;
                     info!(epoch = self.epoch, "owner: every host is known.");
                 }
             }
@@ -468,7 +471,7 @@
 
     fn written(&mut self, number: u64, actions: &mut Vec<Action>) {
         self.log.written();
-        self.director.written(number, actions);
+        self.director.written(number, self.shared.now(), actions);
         let done: Vec<_> = self
             .cancels
             .extract_if(.., |(record, _)| *record <= number)
@@ -482,7 +485,8 @@
     fn write(&mut self) {
         if let Some(number) = self.log.idle_at() {
             let mut actions = Vec::new();
-            self.director.written(number, &mut actions);
+            self.director
+                .written(number, self.shared.now(), &mut actions);
             for action in actions {
                 self.carry_out(action);
             }
