Put jobs beyond a team's weight last, and refuse at once what a slow store was not sent

One team sends 3.7 and 5.3 times its usual from 1 to 17 s, and its jobs stood before the others' by their objectives: 1,300 thumbs late.

Change: while a write takes over 350 ms, jobs that were not sent are refused (503, come back); looks at jobs in doubt run side by side, 300 ms at most, then 504. Jobs that a team hands in beyond its weight a second go behind those that are in time or late.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -5,6 +5,7 @@
 
 mod advice_gates;
 mod advise;
+mod allowance;
 mod director;
 mod ends;
 mod host;
--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::allowance::Allowances;
 use super::host::{Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Shown, Step};
 use super::message::{Action, How, StopOrder};
@@ -69,6 +70,8 @@
     pub(super) jobs: HashMap<WorkflowId, Job>,
     /// Steps with tasks that wait and may start.
     pub(super) ready: BTreeSet<StepId>,
+    /// What each team may still hand in.
+    pub(super) allowances: Allowances,
     /// Room that each team takes.
     pub(super) usage: HashMap<TeamId, Resources>,
     /// When this owner took over.
@@ -169,7 +172,11 @@
             return false;
         }
         let rules = self.queues.get(&flow.queue).cloned().unwrap_or_default();
-        let job = Job::new(flow, &rules, now, age);
+        let beyond = self.allowances.is_beyond(&flow, &self.rules.teams);
+        let job = Job {
+            beyond,
+            ..Job::new(flow, &rules, now, age)
+        };
         self.jobs.insert(id, job);
         for (host, run) in self.strays.remove(&id).unwrap_or_default() {
             self.attach(&host, run);
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -35,6 +35,19 @@
     Cancelled,
 }
 
+/// What a job is worth to its caller; the smallest goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// It can end inside its objective.
+    InTime,
+    /// It is late, and worth a part.
+    Late,
+    /// Its team has handed in more than its share.
+    Beyond,
+    /// It is too late to be worth anything.
+    Worthless,
+}
+
 /// Where a task stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -123,6 +136,8 @@
     pub ended: Millis,
     /// Whether a task has started.
     pub started: bool,
+    /// Whether its team had handed in more than its share.
+    pub beyond: bool,
     /// Whether an earlier owner may have started tasks of it.
     pub inherited: bool,
     /// When the objective ends, on the director's clock.
@@ -150,6 +165,7 @@
             end_record: 0,
             ended: Millis::ZERO,
             started: false,
+            beyond: false,
             inherited: false,
             objective: Millis((now + allowed).0.saturating_sub(age.0)),
             allowed,
@@ -157,17 +173,21 @@
         }
     }
 
-    /// Returns how late the job is: zero inside its objective, 1 past it, 2 when it is worth
-    /// nothing more.
-    pub fn lateness(&self, now: Millis, remaining: Millis) -> u32 {
+    /// Returns how a job ranks that still runs for so long.
+    pub fn rank(&self, now: Millis, remaining: Millis) -> Rank {
         let due = now + remaining;
-        if due <= self.objective {
-            return 0;
-        }
         #[expect(clippy::cast_precision_loss, reason = "times of a day are exact")]
         let worthless =
             (due.since(self.objective)).0 as f64 > self.allowed.0 as f64 * (WORTHLESS_TIMES - 1.0);
-        1 + u32::from(worthless)
+        if worthless {
+            Rank::Worthless
+        } else if self.beyond {
+            Rank::Beyond
+        } else if due > self.objective {
+            Rank::Late
+        } else {
+            Rank::InTime
+        }
     }
 
     /// Returns the state of a step.
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -4,7 +4,7 @@
 
 use super::director::Director;
 use super::host::{Claim, Stage};
-use super::job::Phase;
+use super::job::{Phase, Rank};
 use super::message::{Action, StartOrder};
 use super::plans::Plan;
 use super::restore::Record;
@@ -35,7 +35,7 @@
 }
 
 /// The place of a step in a pass; the smallest goes first.
-type Order = (u32, u32, Millis, StepId);
+type Order = (Rank, u32, Millis, StepId);
 
 impl Director {
     /// Starts what fits.
@@ -55,8 +55,8 @@
             room: self.rooms(now, |one, other| one + other),
             held: HashMap::default(),
         };
-        for (lateness, _, _, step) in steps.into_iter().take(MOST_STEPS) {
-            self.place_step(step, lateness, now, out);
+        for (rank, _, _, step) in steps.into_iter().take(MOST_STEPS) {
+            self.place_step(step, rank, now, out);
         }
     }
 
@@ -104,11 +104,11 @@
         if !unknown && !step.spec.fills && !step.spec.size.fits_in(room.get(&rules.service)?) {
             return None;
         }
-        let lateness = job.lateness(now, step.spec.estimate);
-        Some((lateness, rules.priority, job.objective, at))
+        let rank = job.rank(now, step.spec.estimate);
+        Some((rank, rules.priority, job.objective, at))
     }
 
-    fn place_step(&mut self, at: StepId, lateness: u32, now: Millis, out: &mut Vec<Action>) {
+    fn place_step(&mut self, at: StepId, rank: Rank, now: Millis, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&at.job) else {
             return;
         };
@@ -121,10 +121,10 @@
             if step.waiting < step.left {
                 self.break_gang(at, now, out);
             } else {
-                self.place_gang(at, &rules, lateness, now, out);
+                self.place_gang(at, &rules, rank, now, out);
             }
         } else {
-            self.place_tasks(at, &rules, lateness, now, out);
+            self.place_tasks(at, &rules, rank, now, out);
         }
     }
 
@@ -132,14 +132,14 @@
         &mut self,
         at: StepId,
         rules: &QueueRules,
-        lateness: u32,
+        rank: Rank,
         now: Millis,
         out: &mut Vec<Action>,
     ) {
         let waiting = self.waiting_tasks(at);
         for (index, failed_on) in waiting {
             if !self.within_limit(at, 1) {
-                self.hold_limit(at, lateness);
+                self.hold_limit(at, rank);
                 return;
             }
             let host = self
@@ -176,13 +176,13 @@
         &mut self,
         at: StepId,
         rules: &QueueRules,
-        lateness: u32,
+        rank: Rank,
         now: Millis,
         out: &mut Vec<Action>,
     ) {
         let count = self.step(at).map_or(0, |step| step.waiting);
         if !self.within_limit(at, count) {
-            self.hold_limit(at, lateness);
+            self.hold_limit(at, rank);
             return;
         }
         let hosts = self
@@ -207,7 +207,7 @@
             self.ask(at, rules, cost, now, out);
         }
         // A late gang takes what is left over.
-        if lateness == 0 {
+        if rank == Rank::InTime {
             self.keep(at, rules, now + Millis(KEEP_MS), now);
         }
     }
@@ -244,13 +244,13 @@
 
     /// Lets no step that comes later in the pass take what frees up of a team's limit, unless the
     /// step is late or wide.
-    fn hold_limit(&mut self, at: StepId, lateness: u32) {
+    fn hold_limit(&mut self, at: StepId, rank: Rank) {
         let waiting = self.step(at).map_or(0, |step| step.waiting);
         let Some((team, maximum, size)) = self.limit(at) else {
             return;
         };
         let wanted = size.times(u64::from(waiting));
-        if lateness > 0 || !wanted.times(HELD_PART).fits_in(&maximum) {
+        if rank != Rank::InTime || !wanted.times(HELD_PART).fits_in(&maximum) {
             return;
         }
         let team = team.clone();
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -10,7 +10,7 @@
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
     Action, AdviceGates, Director, DirectorSettings, How, Look, Record, Running, Shown, StepId,
-    StepSpec, TaskName, WorkflowId, takeover_wait,
+    StepSpec, TaskName, TeamRules, WorkflowId, takeover_wait,
 };
 
 use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
@@ -603,3 +603,44 @@
         assert_eq!(starts(&actions), case.starts, "{}", case.name);
     }
 }
+
+#[test]
+fn what_a_team_hands_in_beyond_its_weight_goes_last() {
+    let now = Millis(10_000);
+    let mut rules = rules(3, Resources::UNBOUNDED);
+    let other = wigeongate_core::ids::TeamId::from("other");
+    let terms = TeamRules {
+        weight: 1.0,
+        maximum: Resources::UNBOUNDED,
+    };
+    rules.teams.insert(world::team(), terms.clone());
+    rules.teams.insert(other.clone(), terms);
+    let mut director = Director::new(DirectorSettings::default(), now);
+    director.configure(Arc::new(rules));
+    director.list(host(0, 2 * CORE), now);
+    let mut actions = Vec::new();
+    let look = Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(3_000),
+        ..Look::default()
+    };
+    director.look(&HostId::from("w-0"), &look, now, &mut actions);
+    // Each team's weight is one job a second; the first team presses, the second comes later.
+    for id in 1..=3 {
+        director.submit(flow(id, vec![step(1, CORE)], None), now, Millis::ZERO);
+    }
+    let mut late = flow(9, vec![step(1, CORE)], None);
+    late.team = Some(other);
+    director.submit(late, now + Millis(20), Millis::ZERO);
+    place(&mut director, now + Millis(20), &mut actions);
+    let mut started: Vec<u64> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start(order) => Some(order.task.step.job.0),
+            _ => None,
+        })
+        .collect();
+    started.sort_unstable();
+    assert_eq!(started, [1, 9]);
+}
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -156,7 +156,7 @@
     rules.teams.insert(
         team(),
         TeamRules {
-            weight: 1.0,
+            weight: 1_000.0,
             maximum,
         },
     );
--- a/wigeongate/src/entry/accept.rs
+++ b/wigeongate/src/entry/accept.rs
@@ -2,8 +2,11 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
+use futures_util::future::join_all;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
 use tracing::{info, warn};
 use wigeongate_core::collections::HashSet;
 use wigeongate_core::workflow::{Workflow, WorkflowId};
@@ -15,6 +18,14 @@
 /// How many jobs may wait to be stored; more are refused.
 const QUEUE_JOBS: usize = 512;
 
+/// How long a write may take, in milliseconds, before jobs that were not sent are refused: a store
+/// 60 times slower than its 4 ms still answers, and a caller of 3 s can ask elsewhere.
+const PATIENCE_MS: u64 = 350;
+
+/// The longest look at a job whose write had no answer, in milliseconds: with the write that is
+/// under a third of a caller's time.
+const LOOK_MS: u64 = 300;
+
 /// What became of a job that was handed in.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Accepted {
@@ -65,7 +76,41 @@
             waiting.push_back(entry);
         }
         let batch = take_batch(&mut waiting);
-        store_batch(&shared, batch, &mut waiting).await;
+        let sent: HashSet<WorkflowId> = batch.iter().map(|(flow, _)| flow.id).collect();
+        let write = store_batch(&shared, batch);
+        tokio::pin!(write);
+        let again = match timeout(Duration::from_millis(PATIENCE_MS), &mut write).await {
+            Ok(again) => again,
+            Err(_) => refuse_meanwhile(&mut write, &sent, &mut waiting, &mut receiver).await,
+        };
+        waiting.extend(again);
+    }
+}
+
+/// Refuses jobs that were not sent to the store until a slow write has ended.
+async fn refuse_meanwhile(
+    write: &mut (impl Future<Output = Vec<Entry>> + Unpin),
+    sent: &HashSet<WorkflowId>,
+    waiting: &mut VecDeque<Entry>,
+    receiver: &mut mpsc::Receiver<Entry>,
+) -> Vec<Entry> {
+    loop {
+        for (flow, answer) in waiting.drain(..) {
+            let is_sent = sent.contains(&flow.id);
+            info!(job = %flow.id, is_sent, "accept: given up, the store is slow.");
+            let _ = answer.send(if is_sent {
+                Accepted::Unknown
+            } else {
+                Accepted::Refused
+            });
+        }
+        tokio::select! {
+            again = &mut *write => return again,
+            entry = receiver.recv() => match entry {
+                Some(entry) => waiting.push_back(entry),
+                None => return write.await,
+            },
+        }
     }
 }
 
@@ -86,7 +131,9 @@
     batch
 }
 
-async fn store_batch(shared: &Shared, batch: Vec<Entry>, waiting: &mut VecDeque<Entry>) {
+/// Stores a batch; returns the jobs that have to be written again.
+async fn store_batch(shared: &Shared, batch: Vec<Entry>) -> Vec<Entry> {
+    let mut again = Vec::new();
     let mut txn = Txn::default();
     for (flow, _) in &batch {
         let key = job_key(flow.id);
@@ -114,7 +161,7 @@
                 } else if known.is_empty() {
                     let _ = answer.send(Accepted::Refused);
                 } else {
-                    waiting.push_back((flow, answer));
+                    again.push((flow, answer));
                 }
             }
         }
@@ -126,19 +173,27 @@
             answer_all(batch, Accepted::Refused);
         }
         Err(error) => {
-            for (flow, answer) in batch {
-                warn!(job = %flow.id, %error, "accept: it is not known whether it is stored.");
-                let found = shared.store.get(&job_key(flow.id)).await;
-                let stored = matches!(found, Ok(Some(_)));
-                info!(job = %flow.id, stored, "accept: looked it up.");
-                let _ = answer.send(if stored {
-                    Accepted::Known
-                } else {
-                    Accepted::Unknown
-                });
-            }
+            warn!(jobs = batch.len(), %error, "accept: it is not known whether they are stored.");
+            let looks = batch
+                .into_iter()
+                .map(|(flow, answer)| look_up(shared, flow, answer));
+            join_all(looks).await;
         }
     }
+    again
+}
+
+/// Looks whether a job is stored whose write had no answer.
+async fn look_up(shared: &Shared, flow: Workflow, answer: oneshot::Sender<Accepted>) {
+    let key = job_key(flow.id);
+    let look = timeout(Duration::from_millis(LOOK_MS), shared.store.get(&key));
+    let stored = matches!(look.await, Ok(Ok(Some(_))));
+    info!(job = %flow.id, stored, "accept: looked it up.");
+    let _ = answer.send(if stored {
+        Accepted::Known
+    } else {
+        Accepted::Unknown
+    });
 }
 
 fn answer_all(batch: Vec<Entry>, accepted: Accepted) {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -221,15 +221,19 @@
         let (batches, _) = self.shared.store.range(LOG).await?;
         let now = self.shared.now();
         self.director.tick(now, wall(), &mut Vec::new());
+        let mut flows = Vec::with_capacity(jobs.len());
         for item in &jobs {
             match decode::<Workflow>(&item.key, &item.value) {
-                Ok(flow) => {
-                    let age = age(flow.accepted);
-                    self.director.restore(flow, now, age);
-                }
+                Ok(flow) => flows.push(flow),
                 Err(error) => warn!(error = format!("{error:#}"), "owner: unreadable job."),
             }
         }
+        // What a team may hand in is counted in the order of time.
+        flows.sort_by_key(|flow| flow.accepted);
+        for flow in flows {
+            let age = age(flow.accepted);
+            self.director.restore(flow, now, age);
+        }
         for item in &batches {
             match decode::<Batch>(&item.key, &item.value) {
                 Ok(batch) => {
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -317,6 +317,44 @@
     assert_eq!(platform.starts(id).len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_store_refuses_what_it_was_not_sent() {
+    let (platform, gates) = deployment(1, 1).await;
+    platform.store.set(Trouble::Silent);
+    let mut next = 0_u64;
+    // A write holds 16 jobs: those that wait behind it were never sent.
+    let refused = until("a job is refused while a write hangs", async || {
+        let first = next;
+        next += 40;
+        let jobs = (first..next).map(|at| {
+            let gate = &gates[0];
+            async move {
+                let id = format!("{:016x}", 0x2000 + at);
+                let answer = gate.submit(&id, 1, 100).await;
+                (id, answer)
+            }
+        });
+        let answers = futures_util::future::join_all(jobs).await;
+        for (id, answer) in &answers {
+            assert!(answer.come_back, "{id}: {answer:?}");
+            assert!(matches!(answer.status, 503 | 504), "{id}: {answer:?}");
+        }
+        let refused = answers.into_iter().filter(|(_, it)| it.status == 503);
+        let ids: Vec<String> = refused.map(|(id, _)| id).collect();
+        (!ids.is_empty()).then_some(ids)
+    })
+    .await;
+    platform.store.set(Trouble::None);
+    until("jobs are taken again", async || {
+        let answer = gates[0].submit("0000000000003000", 1, 100).await;
+        (answer.status == 200).then_some(())
+    })
+    .await;
+    for id in refused {
+        assert!(platform.starts(&id).is_empty(), "{id} ran");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_is_refused_and_foreign_entries_are_left_alone() {
     let (platform, gates) = deployment(1, 1).await;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -110,6 +110,8 @@
     Busy,
     /// It carries out writes of jobs and does not answer them.
     LosesAnswers,
+    /// It neither carries out writes of jobs nor answers calls for them.
+    Silent,
 }
 
 /// A run that was ordered, as the executors saw it.
@@ -163,6 +165,12 @@
         if trouble == Trouble::Busy {
             return reply(503, &json!({}));
         }
+        let speaks_of_jobs =
+            path == "/api/kv-key" || String::from_utf8_lossy(body).contains("/job/");
+        if trouble == Trouble::Silent && speaks_of_jobs {
+            tokio::time::sleep(Duration::from_mins(1)).await;
+            return reply(503, &json!({}));
+        }
         locked(&self.data).expire();
         let query: HashMap<String, String> = form(query);
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
