Let an owner that the store turns away ask to be replaced

Change: after two failed writes of the log in a row the owner asks three other gates, which remove the ownership on the condition that it is unchanged and take over as always. Test: an_owner_that_the_store_turns_away_is_replaced_before_its_lease_ends (seen failing without the change; the stand-in got a second address that turns callers away, and leases that do not end).

--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -55,6 +55,11 @@
         gate.heard = now;
     }
 
+    /// Returns the addresses of the other gates.
+    pub fn others(&self) -> impl Iterator<Item = &str> {
+        self.0.values().filter_map(|gate| gate.address.as_deref())
+    }
+
     /// Returns how many gates there are.
     pub fn count(&self) -> usize {
         self.0.len()
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -32,6 +32,10 @@
 /// answer and its repetition take less.
 const BEHIND_MS: u64 = 800;
 
+/// After how many failures in a row the owner asks another gate to take over: one answer may be
+/// lost, and nothing starts without the log.
+const YIELD_FAILURES: u32 = 2;
+
 /// The log of one ownership.
 #[derive(Debug)]
 pub struct Log {
@@ -166,6 +170,7 @@
     key: &str,
     last: u64,
 ) -> Input {
+    let mut failures = 0;
     while !inputs.is_closed() {
         match shared.store.commit(txn).await {
             Ok(Committed::Done(_)) => return Input::Written(last),
@@ -185,7 +190,14 @@
                 }
             }
             Ok(Committed::NoLease) => {}
-            Err(error) => warn!(%error, key, "owner: the log was not written."),
+            Err(error) => {
+                warn!(%error, key, "owner: the log was not written.");
+                failures += 1;
+                if failures >= YIELD_FAILURES {
+                    // The owner's loop has ended when nobody listens.
+                    let _ = inputs.send(Input::Yield);
+                }
+            }
         }
         tokio::time::sleep(Duration::from_millis(WRITE_AGAIN_MS)).await;
     }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -40,6 +40,9 @@
 /// executors need most of the processor.
 const PASS_REST_TIMES: u32 = 4;
 
+/// How many other gates are asked at a time to take over: the store may turn away a third of all.
+const YIELD_GATES: usize = 3;
+
 /// Something that the owner takes in.
 #[derive(Debug)]
 pub enum Input {
@@ -63,6 +66,8 @@
     Jobs(Vec<Workflow>),
     /// The log was written up to a record.
     Written(u64),
+    /// The store turns this gate away: another should take over.
+    Yield,
     /// Another owner has taken over.
     Fenced,
 }
@@ -205,6 +210,27 @@
         Ok(())
     }
 
+    /// Asks some other gates to take over; one that is turned away as well cannot.
+    fn yield_ownership(&self) {
+        let skip = rand::random_range(0..self.gates.count());
+        let others = self.gates.others().chain(self.gates.others());
+        for address in others.skip(skip).take(YIELD_GATES) {
+            info!(
+                epoch = self.epoch,
+                by = address,
+                "owner: asks to be replaced."
+            );
+            let (shared, epoch) = (Arc::clone(&self.shared), self.epoch);
+            let address = address.to_owned();
+            tokio::spawn(async move {
+                if let Err(error) = peers::call(&shared, &address, &PeerCall::Yield(epoch), 0).await
+                {
+                    info!(error = format!("{error:#}"), "owner: not heard.");
+                }
+            });
+        }
+    }
+
     /// Returns whether something may start.
     fn may_pass(&self) -> bool {
         self.director.is_dirty() && self.valid.load(Ordering::Relaxed) && !self.log.is_behind()
@@ -294,6 +320,7 @@
                 }
             }
             Input::Written(number) => self.written(number, actions),
+            Input::Yield => self.yield_ownership(),
             Input::Fenced => self.fenced = true,
         }
     }
@@ -345,7 +372,7 @@
                     PeerAnswer::Cancelled(false)
                 }
             }
-            PeerCall::Advise(..) => PeerAnswer::Failed,
+            PeerCall::Advise(..) | PeerCall::Yield(_) => PeerAnswer::Failed,
         };
         // The caller has given up when nobody listens.
         let _ = answer.send(reply);
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -124,6 +124,15 @@
                 owner = items.first().and_then(read);
                 continue;
             }
+            () = shared.owner_yields.notified() => {
+                info!(revision = at_revision, "ownership: the owner asks to be replaced.");
+                remove(shared, at_revision).await?;
+                let (items, at) = shared.store.range(OWNER).await?;
+                revision = at;
+                at_revision = items.first().map_or(0, |item| item.revision);
+                owner = items.first().and_then(read);
+                continue;
+            }
         };
         let (changes, at) = watched;
         revision = revision.max(at);
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -42,6 +42,8 @@
     Cancel(WorkflowId),
     /// How many jobs of a queue have not begun is asked.
     Pending(QueueId),
+    /// The owner of an epoch is turned away by the store: another gate is to take over.
+    Yield(u64),
     /// The owner wants a question asked of the advice service.
     Advise(StepId, Vec<HostId>, u64),
 }
@@ -136,6 +138,10 @@
                 }
             }
         }
+        PeerCall::Yield(epoch) => {
+            shared.note_yield(epoch);
+            PeerAnswer::Done
+        }
         call => match shared.local_owner() {
             Some(owner) => owner.call(call).await,
             None => PeerAnswer::NotOwner,
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -39,6 +39,8 @@
     pub local: Mutex<Option<OwnerHandle>>,
     /// Wakes when a call found that nothing listens at the owner's address.
     pub owner_gone: Notify,
+    /// Wakes when the owner asks another gate to take over.
+    pub owner_yields: Notify,
     /// Counters and times.
     pub meters: Meters,
     /// When the last look at the configuration that was answered was sent.
@@ -60,6 +62,7 @@
             owner: watch::Sender::new(None),
             local: Mutex::new(None),
             owner_gone: Notify::new(),
+            owner_yields: Notify::new(),
             meters: Meters::default(),
             evidence: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -98,6 +101,18 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Takes in that the owner of an epoch wants to be replaced.
+    pub fn note_yield(&self, epoch: u64) {
+        let current = self
+            .owner
+            .borrow()
+            .as_ref()
+            .is_some_and(|it| it.epoch == epoch);
+        if current && !self.is_stopping() {
+            self.owner_yields.notify_one();
+        }
+    }
+
     /// Returns the way to the owner, when it is this gate.
     pub fn local_owner(&self) -> Option<OwnerHandle> {
         self.local
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -39,13 +39,18 @@
 
 impl Gate {
     async fn start(platform: &Platform, name: &str) -> Self {
+        Self::start_at(platform.address, name).await
+    }
+
+    /// Starts a gate that reaches the store at an address.
+    async fn start_at(store: SocketAddr, name: &str) -> Self {
         let (callers, ready) = (port(), port());
         let text = format!(
             "gate: {name}\nzone: a\ncallers: {callers}\nready: {ready}\npeer: {}\nmetrics: {}\n\
              store: {}\nbounds:\n  task_lease_ms: 2000\n  grace_s: 6\n",
             port(),
             port(),
-            platform.address,
+            store,
         );
         let file = format!("wigeongate-{}-{}.yaml", std::process::id(), callers.port());
         let settings = std::env::temp_dir().join(file);
@@ -317,6 +322,23 @@
     assert_eq!(platform.starts(id).len(), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_owner_that_the_store_turns_away_is_replaced_before_its_lease_ends() {
+    let mut platform = Platform::start(2).await;
+    platform.configure(1, &[KEY]);
+    let (door, closed) = platform.door("door").await;
+    let _owner = Gate::start_at(door, "gate-0").await;
+    let other = Gate::start(&platform, "gate-1").await;
+    // The owner has heard of the other gate when a job of it has ended.
+    assert_eq!(other.submit("0000000000004000", 1, 100).await.status, 200);
+    other.until_state("0000000000004000", "completed").await;
+    platform.store.set(Trouble::HoldsLeases);
+    closed.store(true, std::sync::atomic::Ordering::Relaxed);
+    assert_eq!(other.submit("0000000000004001", 2, 100).await.status, 200);
+    other.until_state("0000000000004001", "completed").await;
+    assert_eq!(platform.starts("0000000000004001").len(), 2);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_silent_store_refuses_what_it_was_not_sent() {
     let (platform, gates) = deployment(1, 1).await;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -110,6 +110,8 @@
     Busy,
     /// It carries out writes of jobs and does not answer them.
     LosesAnswers,
+    /// Leases do not run out.
+    HoldsLeases,
     /// It neither carries out writes of jobs nor answers calls for them.
     Silent,
 }
@@ -160,6 +162,12 @@
         keys.filter(|key| key.starts_with(prefix)).count()
     }
 
+    fn expire(&self) {
+        if *locked(&self.trouble) != Trouble::HoldsLeases {
+            locked(&self.data).expire();
+        }
+    }
+
     async fn answer(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Reply {
         let trouble = *locked(&self.trouble);
         if trouble == Trouble::Busy {
@@ -171,7 +179,7 @@
             tokio::time::sleep(Duration::from_mins(1)).await;
             return reply(503, &json!({}));
         }
-        locked(&self.data).expire();
+        self.expire();
         let query: HashMap<String, String> = form(query);
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         match (method, path) {
@@ -236,8 +244,8 @@
         loop {
             let changed = self.changed.notified();
             {
-                let mut data = locked(&self.data);
-                data.expire();
+                self.expire();
+                let data = locked(&self.data);
                 let events: Vec<Value> = data
                     .history
                     .iter()
@@ -512,6 +520,24 @@
         platform
     }
 
+    /// Opens another address of the store, which turns callers away while the flag is set.
+    pub async fn door(&mut self, name: &str) -> (SocketAddr, Arc<AtomicBool>) {
+        let closed = Arc::new(AtomicBool::new(false));
+        let (store, flag) = (Arc::clone(&self.store), Arc::clone(&closed));
+        let (address, server) = serve(move |method, path, query, body| {
+            let (store, flag) = (Arc::clone(&store), Arc::clone(&flag));
+            async move {
+                if flag.load(Ordering::Relaxed) {
+                    return reply(503, &json!({}));
+                }
+                store.answer(&method, &path, &query, &body).await
+            }
+        })
+        .await;
+        self.servers.insert(name.to_owned(), server);
+        (address, closed)
+    }
+
     async fn add_executor(&mut self, id: &str) {
         let gone = Arc::new(AtomicBool::new(false));
         let executor = Arc::new(Executor {
