--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -6,6 +6,7 @@
 mod advice_gates;
 mod advise;
 mod allowance;
+mod answers;
 mod director;
 mod ends;
 mod host;
--- /dev/null
+++ b/wigeongate-core/tests/workflow/limits.rs
@@ -0,0 +1,131 @@
+//! What teams may have running and may hand in.
+
+use std::sync::Arc;
+
+use wigeongate_core::ids::{HostId, TeamId};
+use wigeongate_core::resources::Resources;
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, Director, DirectorSettings, Ended, How, Look, StepSpec, TeamRules,
+};
+
+use crate::world::{flow, host, rules, step, team};
+use crate::{CORE, place, starts, task};
+
+/// What waits at a team's limit, and how many tasks start when one ends.
+struct LimitCase {
+    name: &'static str,
+    urgent: StepSpec,
+    starts: usize,
+}
+
+#[test]
+fn freed_room_of_a_team_goes_to_what_is_more_urgent() {
+    let now = Millis(10_000);
+    let cases = [
+        LimitCase {
+            name: "a narrow gang waits for the rest of its room",
+            urgent: StepSpec {
+                gang: true,
+                ..step(2, CORE)
+            },
+            starts: 0,
+        },
+        LimitCase {
+            name: "a wide gang lets others go on",
+            urgent: StepSpec {
+                gang: true,
+                ..step(3, CORE)
+            },
+            starts: 1,
+        },
+        LimitCase {
+            name: "a gang above the limit never starts",
+            urgent: StepSpec {
+                gang: true,
+                ..step(17, CORE)
+            },
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let mut director = Director::new(DirectorSettings::default(), now);
+        let maximum = Resources {
+            cpu: 16 * CORE,
+            ..Resources::UNBOUNDED
+        };
+        director.configure(Arc::new(rules(3, maximum)));
+        director.list(host(0, 64 * CORE), now);
+        let id = HostId::from("w-0");
+        let mut actions = Vec::new();
+        let look = Look {
+            born: 1,
+            sent: now,
+            lease: now + Millis(3_000),
+            ..Look::default()
+        };
+        director.look(&id, &look, now, &mut actions);
+        director.submit(flow(1, vec![step(16, CORE)], None), now, Millis::ZERO);
+        place(&mut director, now, &mut actions);
+        assert_eq!(starts(&actions), 16, "{}", case.name);
+        director.submit(flow(2, vec![case.urgent], None), now, Millis::ZERO);
+        let later = now + Millis(10);
+        director.submit(flow(3, vec![step(4, CORE)], None), later, Millis::ZERO);
+        actions.clear();
+        let ended = Ended {
+            number: 1,
+            task: task(1, 0, 0),
+            run: 1,
+            how: How::Done,
+            saved: String::new(),
+        };
+        let look = Look {
+            ended: vec![ended],
+            ..look
+        };
+        director.look(&id, &look, later, &mut actions);
+        place(&mut director, later, &mut actions);
+        assert_eq!(starts(&actions), case.starts, "{}", case.name);
+    }
+}
+
+#[test]
+fn what_a_team_hands_in_beyond_its_weight_goes_last() {
+    let now = Millis(10_000);
+    let mut rules = rules(3, Resources::UNBOUNDED);
+    let other = TeamId::from("other");
+    let terms = TeamRules {
+        weight: 1.0,
+        maximum: Resources::UNBOUNDED,
+    };
+    rules.teams.insert(team(), terms.clone());
+    rules.teams.insert(other.clone(), terms);
+    let mut director = Director::new(DirectorSettings::default(), now);
+    director.configure(Arc::new(rules));
+    director.list(host(0, 2 * CORE), now);
+    let mut actions = Vec::new();
+    let look = Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(3_000),
+        ..Look::default()
+    };
+    director.look(&HostId::from("w-0"), &look, now, &mut actions);
+    // Each team's weight is one job a second; the first team presses, the second comes later.
+    for id in 1..=3 {
+        director.submit(flow(id, vec![step(1, CORE)], None), now, Millis::ZERO);
+    }
+    let mut late = flow(9, vec![step(1, CORE)], None);
+    late.team = Some(other);
+    director.submit(late, now + Millis(20), Millis::ZERO);
+    place(&mut director, now + Millis(20), &mut actions);
+    let mut started: Vec<u64> = actions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Start(order) => Some(order.task.step.job.0),
+            _ => None,
+        })
+        .collect();
+    started.sort_unstable();
+    assert_eq!(started, [1, 9]);
+}
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -1,6 +1,8 @@
 //! Jobs of several steps on fake executors: directed cases, and random days with faults.
 
 mod advice;
+mod limits;
+mod records;
 mod world;
 
 use std::sync::Arc;
@@ -9,8 +11,8 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, Director, DirectorSettings, How, Look, Record, Running, Shown, StepId,
-    StepSpec, TaskName, TeamRules, WorkflowId, takeover_wait,
+    Action, AdviceGates, Director, DirectorSettings, How, Look, Running, Shown, StepId, StepSpec,
+    TaskName, WorkflowId, takeover_wait,
 };
 
 use self::world::{Faults, LEASE_MS, World, flow, host, rules, step};
@@ -259,116 +261,6 @@
     assert_eq!(starts(&actions), 0);
 }
 
-/// What an earlier owner wrote of a task, and whether the next one may start it at once.
-struct InheritedCase {
-    name: &'static str,
-    records: Vec<Record>,
-    starts: usize,
-}
-
-#[test]
-fn inherited_work_starts_unless_it_was_ordered_on_a_silent_host() {
-    let now = Millis(10_000);
-    let silent = HostId::from("w-1");
-    let cases = [
-        InheritedCase {
-            name: "never ordered",
-            records: Vec::new(),
-            starts: 1,
-        },
-        InheritedCase {
-            name: "ordered on the silent host",
-            records: vec![Record::Started(task(6, 0, 0), 1, silent.clone())],
-            starts: 0,
-        },
-    ];
-    for case in cases {
-        let mut director = Director::new(DirectorSettings::default(), now);
-        director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
-        let mut actions = Vec::new();
-        director.restore(flow(6, vec![step(1, CORE)], None), now, Millis::ZERO);
-        for record in &case.records {
-            director.replay(record, now);
-        }
-        director.restored(now, &mut actions);
-        director.list(host(0, 8 * CORE), now);
-        director.list(host(1, 8 * CORE), now);
-        let look = |at: Millis| Look {
-            born: 1,
-            sent: at,
-            lease: at + Millis(3_000),
-            ..Look::default()
-        };
-        let look_and_place = |director: &mut Director, at: Millis| {
-            let mut actions = Vec::new();
-            director.prolong(&silent, Millis::ZERO);
-            director.look(&HostId::from("w-0"), &look(at), at, &mut actions);
-            director.tick(at, 0, &mut actions);
-            director.place(at, &mut actions);
-            director.written(director.records(), at, &mut actions);
-            starts(&actions)
-        };
-        for ms in [0, 1_000, 6_000] {
-            let started = look_and_place(&mut director, now + Millis(ms));
-            let expected = if ms == 0 { case.starts } else { 0 };
-            assert_eq!(started, expected, "{} after {ms} ms", case.name);
-        }
-        // The lease of what may run there has ended.
-        let started = look_and_place(&mut director, now + Millis(6_500));
-        assert_eq!(started, 1 - case.starts, "{}", case.name);
-    }
-}
-
-#[test]
-fn a_start_is_ordered_once_its_record_is_written() {
-    let now = Millis(10_000);
-    let later = now + Millis(30);
-    let cancel: fn(&mut Director, Millis) = |director, now| {
-        director.cancel(WorkflowId(5), now, &mut Vec::new());
-    };
-    let drain: fn(&mut Director, Millis) = |director, now| {
-        let entry = host(0, 8 * CORE);
-        director.list(
-            wigeongate_core::workflow::HostEntry {
-                draining: true,
-                ..entry
-            },
-            now,
-        );
-    };
-    for (name, change, ordered) in [
-        ("nothing happens", None, 1),
-        ("the job is cancelled", Some(cancel), 0),
-        ("the host is to leave", Some(drain), 0),
-    ] {
-        let mut director = Director::new(DirectorSettings::default(), now);
-        director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
-        director.list(host(0, 8 * CORE), now);
-        let look = Look {
-            born: 1,
-            sent: now,
-            lease: now + Millis(3_000),
-            ..Look::default()
-        };
-        let mut actions = Vec::new();
-        director.look(&HostId::from("w-0"), &look, now, &mut actions);
-        director.submit(flow(5, vec![step(1, CORE)], None), now, Millis::ZERO);
-        director.place(now, &mut actions);
-        assert_eq!(starts(&actions), 0, "{name}");
-        let record = director.records();
-        if let Some(change) = change {
-            change(&mut director, later);
-        }
-        actions.clear();
-        director.written(record - 1, later, &mut actions);
-        assert_eq!(starts(&actions), 0, "{name}");
-        director.written(record, later, &mut actions);
-        assert_eq!(starts(&actions), ordered, "{name}");
-        let stops = actions.iter().filter(|it| matches!(it, Action::Stop(_)));
-        assert_eq!(stops.count(), 0, "{name}");
-    }
-}
-
 #[test]
 fn long_questions_leave_gates_for_short_ones() {
     struct Question {
@@ -526,121 +418,3 @@
         }
     }
 }
-
-/// What waits at a team's limit, and how many tasks start when one ends.
-struct LimitCase {
-    name: &'static str,
-    urgent: StepSpec,
-    starts: usize,
-}
-
-#[test]
-fn freed_room_of_a_team_goes_to_what_is_more_urgent() {
-    let now = Millis(10_000);
-    let cases = [
-        LimitCase {
-            name: "a narrow gang waits for the rest of its room",
-            urgent: StepSpec {
-                gang: true,
-                ..step(2, CORE)
-            },
-            starts: 0,
-        },
-        LimitCase {
-            name: "a wide gang lets others go on",
-            urgent: StepSpec {
-                gang: true,
-                ..step(3, CORE)
-            },
-            starts: 1,
-        },
-        LimitCase {
-            name: "a gang above the limit never starts",
-            urgent: StepSpec {
-                gang: true,
-                ..step(17, CORE)
-            },
-            starts: 1,
-        },
-    ];
-    for case in cases {
-        let mut director = Director::new(DirectorSettings::default(), now);
-        let maximum = Resources {
-            cpu: 16 * CORE,
-            ..Resources::UNBOUNDED
-        };
-        director.configure(Arc::new(rules(3, maximum)));
-        director.list(host(0, 64 * CORE), now);
-        let id = HostId::from("w-0");
-        let mut actions = Vec::new();
-        let look = Look {
-            born: 1,
-            sent: now,
-            lease: now + Millis(3_000),
-            ..Look::default()
-        };
-        director.look(&id, &look, now, &mut actions);
-        director.submit(flow(1, vec![step(16, CORE)], None), now, Millis::ZERO);
-        place(&mut director, now, &mut actions);
-        assert_eq!(starts(&actions), 16, "{}", case.name);
-        director.submit(flow(2, vec![case.urgent], None), now, Millis::ZERO);
-        let later = now + Millis(10);
-        director.submit(flow(3, vec![step(4, CORE)], None), later, Millis::ZERO);
-        actions.clear();
-        let ended = wigeongate_core::workflow::Ended {
-            number: 1,
-            task: task(1, 0, 0),
-            run: 1,
-            how: How::Done,
-            saved: String::new(),
-        };
-        let look = Look {
-            ended: vec![ended],
-            ..look
-        };
-        director.look(&id, &look, later, &mut actions);
-        place(&mut director, later, &mut actions);
-        assert_eq!(starts(&actions), case.starts, "{}", case.name);
-    }
-}
-
-#[test]
-fn what_a_team_hands_in_beyond_its_weight_goes_last() {
-    let now = Millis(10_000);
-    let mut rules = rules(3, Resources::UNBOUNDED);
-    let other = wigeongate_core::ids::TeamId::from("other");
-    let terms = TeamRules {
-        weight: 1.0,
-        maximum: Resources::UNBOUNDED,
-    };
-    rules.teams.insert(world::team(), terms.clone());
-    rules.teams.insert(other.clone(), terms);
-    let mut director = Director::new(DirectorSettings::default(), now);
-    director.configure(Arc::new(rules));
-    director.list(host(0, 2 * CORE), now);
-    let mut actions = Vec::new();
-    let look = Look {
-        born: 1,
-        sent: now,
-        lease: now + Millis(3_000),
-        ..Look::default()
-    };
-    director.look(&HostId::from("w-0"), &look, now, &mut actions);
-    // Each team's weight is one job a second; the first team presses, the second comes later.
-    for id in 1..=3 {
-        director.submit(flow(id, vec![step(1, CORE)], None), now, Millis::ZERO);
-    }
-    let mut late = flow(9, vec![step(1, CORE)], None);
-    late.team = Some(other);
-    director.submit(late, now + Millis(20), Millis::ZERO);
-    place(&mut director, now + Millis(20), &mut actions);
-    let mut started: Vec<u64> = actions
-        .iter()
-        .filter_map(|action| match action {
-            Action::Start(order) => Some(order.task.step.job.0),
-            _ => None,
-        })
-        .collect();
-    started.sort_unstable();
-    assert_eq!(started, [1, 9]);
-}
--- /dev/null
+++ b/wigeongate-core/tests/workflow/records.rs
@@ -0,0 +1,123 @@
+//! What starts depends on: what was written before, by this owner and earlier ones.
+
+use std::sync::Arc;
+
+use wigeongate_core::ids::HostId;
+use wigeongate_core::resources::Resources;
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, Director, DirectorSettings, HostEntry, Look, Record, WorkflowId,
+};
+
+use crate::world::{flow, host, rules, step};
+use crate::{CORE, starts, task};
+
+/// What an earlier owner wrote of a task, and whether the next one may start it at once.
+struct InheritedCase {
+    name: &'static str,
+    records: Vec<Record>,
+    starts: usize,
+}
+
+#[test]
+fn inherited_work_starts_unless_it_was_ordered_on_a_silent_host() {
+    let now = Millis(10_000);
+    let silent = HostId::from("w-1");
+    let cases = [
+        InheritedCase {
+            name: "never ordered",
+            records: Vec::new(),
+            starts: 1,
+        },
+        InheritedCase {
+            name: "ordered on the silent host",
+            records: vec![Record::Started(task(6, 0, 0), 1, silent.clone())],
+            starts: 0,
+        },
+    ];
+    for case in cases {
+        let mut director = Director::new(DirectorSettings::default(), now);
+        director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+        let mut actions = Vec::new();
+        director.restore(flow(6, vec![step(1, CORE)], None), now, Millis::ZERO);
+        for record in &case.records {
+            director.replay(record, now);
+        }
+        director.restored(now, &mut actions);
+        director.list(host(0, 8 * CORE), now);
+        director.list(host(1, 8 * CORE), now);
+        let look = |at: Millis| Look {
+            born: 1,
+            sent: at,
+            lease: at + Millis(3_000),
+            ..Look::default()
+        };
+        let look_and_place = |director: &mut Director, at: Millis| {
+            let mut actions = Vec::new();
+            director.prolong(&silent, Millis::ZERO);
+            director.look(&HostId::from("w-0"), &look(at), at, &mut actions);
+            director.tick(at, 0, &mut actions);
+            director.place(at, &mut actions);
+            director.written(director.records(), at, &mut actions);
+            starts(&actions)
+        };
+        for ms in [0, 1_000, 6_000] {
+            let started = look_and_place(&mut director, now + Millis(ms));
+            let expected = if ms == 0 { case.starts } else { 0 };
+            assert_eq!(started, expected, "{} after {ms} ms", case.name);
+        }
+        // The lease of what may run there has ended.
+        let started = look_and_place(&mut director, now + Millis(6_500));
+        assert_eq!(started, 1 - case.starts, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_start_is_ordered_once_its_record_is_written() {
+    let now = Millis(10_000);
+    let later = now + Millis(30);
+    let cancel: fn(&mut Director, Millis) = |director, now| {
+        director.cancel(WorkflowId(5), now, &mut Vec::new());
+    };
+    let drain: fn(&mut Director, Millis) = |director, now| {
+        let entry = host(0, 8 * CORE);
+        director.list(
+            HostEntry {
+                draining: true,
+                ..entry
+            },
+            now,
+        );
+    };
+    for (name, change, ordered) in [
+        ("nothing happens", None, 1),
+        ("the job is cancelled", Some(cancel), 0),
+        ("the host is to leave", Some(drain), 0),
+    ] {
+        let mut director = Director::new(DirectorSettings::default(), now);
+        director.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+        director.list(host(0, 8 * CORE), now);
+        let look = Look {
+            born: 1,
+            sent: now,
+            lease: now + Millis(3_000),
+            ..Look::default()
+        };
+        let mut actions = Vec::new();
+        director.look(&HostId::from("w-0"), &look, now, &mut actions);
+        director.submit(flow(5, vec![step(1, CORE)], None), now, Millis::ZERO);
+        director.place(now, &mut actions);
+        assert_eq!(starts(&actions), 0, "{name}");
+        let record = director.records();
+        if let Some(change) = change {
+            change(&mut director, later);
+        }
+        actions.clear();
+        director.written(record - 1, later, &mut actions);
+        assert_eq!(starts(&actions), 0, "{name}");
+        director.written(record, later, &mut actions);
+        assert_eq!(starts(&actions), ordered, "{name}");
+        let stops = actions.iter().filter(|it| matches!(it, Action::Stop(_)));
+        assert_eq!(stops.count(), 0, "{name}");
+    }
+}
--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -5,6 +5,7 @@
 
 mod accept;
 mod advice;
+mod arrivals;
 mod callers;
 mod cleanup;
 mod configuration;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -15,9 +15,9 @@
     Action, Advice, AdviceGates, Director, DirectorSettings, HostEntry, Look, Record, StartResult,
     StepId, TaskName, Workflow,
 };
-use wigeongate_platform::store::{Change, StoreError};
 
 use super::advice::Adviser;
+use super::arrivals;
 use super::callers::age;
 use super::hosts::HostLink;
 use super::log::Log;
@@ -30,9 +30,6 @@
 /// The time between ticks, in milliseconds.
 const TICK_MS: u64 = 50;
 
-/// The time between looks at accepted jobs of which no gate has told, in milliseconds.
-const JOBS_EVERY_MS: u64 = 1_000;
-
 /// What an issued ticket is shortened by for its way here, in milliseconds.
 const TICKET_WAY_MS: u64 = 30;
 
@@ -173,7 +170,7 @@
             Arc::clone(&self.shared),
             self.inputs.clone(),
         ));
-        tokio::spawn(follow_jobs(
+        tokio::spawn(arrivals::follow(
             Arc::clone(&self.shared),
             self.inputs.clone(),
             self.jobs_revision,
@@ -540,41 +537,3 @@
         self.log.clean(&expired, is_known);
     }
 }
-
-/// Finds accepted jobs of which no gate has told, until nobody listens.
-async fn follow_jobs(shared: Arc<Shared>, inputs: mpsc::UnboundedSender<Input>, mut from: u64) {
-    while !inputs.is_closed() {
-        tokio::time::sleep(Duration::from_millis(JOBS_EVERY_MS)).await;
-        let found = match shared.store.watch(JOBS, from, 0).await {
-            Ok((changes, at)) => {
-                from = from.max(at);
-                let items = changes.into_iter().filter_map(|change| match change {
-                    Change::Put(item) => Some(item),
-                    Change::Removed(_) => None,
-                });
-                items.collect()
-            }
-            Err(StoreError::Compacted(_)) => match shared.store.range(JOBS).await {
-                Ok((items, at)) => {
-                    from = from.max(at);
-                    items
-                }
-                Err(error) => {
-                    warn!(%error, "owner: the jobs cannot be read.");
-                    continue;
-                }
-            },
-            Err(error) => {
-                warn!(%error, "owner: the look at jobs failed.");
-                continue;
-            }
-        };
-        let flows: Vec<Workflow> = found
-            .iter()
-            .filter_map(|item| decode(&item.key, &item.value).ok())
-            .collect();
-        if !flows.is_empty() && inputs.send(Input::Jobs(flows)).is_err() {
-            return;
-        }
-    }
-}
