--- a/wigeongate-core/tests/workflow/limits.rs
+++ b/wigeongate-core/tests/workflow/limits.rs
@@ -12,6 +12,19 @@
 use crate::world::{flow, host, rules, step, team};
 use crate::{CORE, place, starts, task};
 
+/// Lists a host that answers and tells what ended there.
+fn add_host(director: &mut Director, cpu: u64, ended: Vec<Ended>, now: Millis) {
+    director.list(host(0, cpu), now);
+    let look = Look {
+        born: 1,
+        sent: now,
+        lease: now + Millis(3_000),
+        ended,
+        ..Look::default()
+    };
+    director.look(&HostId::from("w-0"), &look, now, &mut Vec::new());
+}
+
 /// What waits at a team's limit, and how many tasks start when one ends.
 struct LimitCase {
     name: &'static str,
@@ -55,16 +68,8 @@
             ..Resources::UNBOUNDED
         };
         director.configure(Arc::new(rules(3, maximum)));
-        director.list(host(0, 64 * CORE), now);
-        let id = HostId::from("w-0");
         let mut actions = Vec::new();
-        let look = Look {
-            born: 1,
-            sent: now,
-            lease: now + Millis(3_000),
-            ..Look::default()
-        };
-        director.look(&id, &look, now, &mut actions);
+        add_host(&mut director, 64 * CORE, Vec::new(), now);
         director.submit(flow(1, vec![step(16, CORE)], None), now, Millis::ZERO);
         place(&mut director, now, &mut actions);
         assert_eq!(starts(&actions), 16, "{}", case.name);
@@ -79,11 +84,7 @@
             how: How::Done,
             saved: String::new(),
         };
-        let look = Look {
-            ended: vec![ended],
-            ..look
-        };
-        director.look(&id, &look, later, &mut actions);
+        add_host(&mut director, 64 * CORE, vec![ended], later);
         place(&mut director, later, &mut actions);
         assert_eq!(starts(&actions), case.starts, "{}", case.name);
     }
@@ -102,15 +103,8 @@
     rules.teams.insert(other.clone(), terms);
     let mut director = Director::new(DirectorSettings::default(), now);
     director.configure(Arc::new(rules));
-    director.list(host(0, 2 * CORE), now);
     let mut actions = Vec::new();
-    let look = Look {
-        born: 1,
-        sent: now,
-        lease: now + Millis(3_000),
-        ..Look::default()
-    };
-    director.look(&HostId::from("w-0"), &look, now, &mut actions);
+    add_host(&mut director, 2 * CORE, Vec::new(), now);
     // Each team's weight is one job a second; the first team presses, the second comes later.
     for id in 1..=3 {
         director.submit(flow(id, vec![step(1, CORE)], None), now, Millis::ZERO);
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -67,79 +67,73 @@
     process: u64,
     stop: &Notify,
 ) -> Result<()> {
-    let (items, mut revision) = shared.store.range(OWNER).await?;
-    let mut owner = items.first().and_then(read);
-    let mut at_revision = items.first().map_or(0, |item| item.revision);
+    let mut seen = look(shared).await?;
     loop {
-        let is_new = *shared.owner.borrow() != owner;
+        let is_new = *shared.owner.borrow() != seen.owner;
         if is_new {
-            info!(?owner, revision, "ownership: the owner changed.");
-            shared.owner.send_replace(owner.clone());
+            info!(owner = ?seen.owner, revision = seen.revision, "ownership: the owner changed.");
+            shared.owner.send_replace(seen.owner.clone());
         }
-        if owner.is_none() {
+        let Some(owner) = &seen.owner else {
             if shared.is_stopping() || shared.manifest.load().is_none() {
                 sleep(Duration::from_millis(PAUSE_MS)).await;
             } else {
                 let wait = takeover_wait(shared.settings.processors(), rand::random());
                 sleep(Duration::from_millis(wait.0)).await;
                 // Another gate may have taken over meanwhile: a look costs less than a lease.
-                let (held, _) = shared.store.range(OWNER).await?;
-                if held.is_empty() && take_over(shared, adviser, process, stop).await? {
+                let is_free = look(shared).await?.owner.is_none();
+                if is_free && take_over(shared, adviser, process, stop).await? {
                     return Ok(());
                 }
             }
-            let (items, at) = shared.store.range(OWNER).await?;
-            revision = at;
-            at_revision = items.first().map_or(0, |item| item.revision);
-            owner = items.first().and_then(read);
+            seen = look(shared).await?;
             continue;
-        }
-        if let Some(stale) = owner
-            .as_ref()
-            .filter(|owner| owner.gate == shared.settings.gate && owner.process != process)
-        {
-            // An earlier process of this gate was the owner and is gone.
-            info!(
-                epoch = stale.epoch,
-                "ownership: an earlier process of this gate held it."
-            );
-            remove(shared, at_revision).await?;
-            owner = None;
+        };
+        let epoch = owner.epoch;
+        if owner.gate == shared.settings.gate && owner.process != process {
+            info!(epoch, "ownership: an earlier process of this gate held it.");
+            remove(shared, seen.at_revision).await?;
+            seen = look(shared).await?;
             continue;
         }
-        let watched = tokio::select! {
-            watched = shared.store.watch(OWNER, revision, WAIT_MS) => watched?,
+        tokio::select! {
+            watched = shared.store.watch(OWNER, seen.revision, WAIT_MS) => seen.take(watched?),
             () = shared.owner_gone.notified() => {
-                if let Some(gone) = &owner
-                    && !shared.is_stopping()
-                    && is_refusing(shared, &gone.address).await
-                {
-                    info!(epoch = gone.epoch, gate = %gone.gate,
+                if !shared.is_stopping() && is_refusing(shared, &owner.address).await {
+                    info!(epoch, gate = %owner.gate,
                         "ownership: the owner's host refuses connections.");
-                    remove(shared, at_revision).await?;
+                    remove(shared, seen.at_revision).await?;
                 }
-                let (items, at) = shared.store.range(OWNER).await?;
-                revision = at;
-                at_revision = items.first().map_or(0, |item| item.revision);
-                owner = items.first().and_then(read);
-                continue;
+                seen = look(shared).await?;
             }
-            () = shared.owner_yields.notified() => {
-                info!(revision = at_revision, "ownership: the owner asks to be replaced.");
-                remove(shared, at_revision).await?;
-                let (items, at) = shared.store.range(OWNER).await?;
-                revision = at;
-                at_revision = items.first().map_or(0, |item| item.revision);
-                owner = items.first().and_then(read);
-                continue;
+            asked = shared.owner_yields.notified() => {
+                // A later owner is not meant.
+                if asked == epoch && !shared.is_stopping() {
+                    info!(epoch, "ownership: the owner asks to be replaced.");
+                    remove(shared, seen.at_revision).await?;
+                    seen = look(shared).await?;
+                }
             }
-        };
-        let (changes, at) = watched;
-        revision = revision.max(at);
+        }
+    }
+}
+
+/// What was read of the ownership.
+struct Seen {
+    owner: Option<OwnerRecord>,
+    /// The revision up to which changes are known.
+    revision: u64,
+    /// The revision of the owner's key; zero without one.
+    at_revision: u64,
+}
+
+impl Seen {
+    fn take(&mut self, (changes, revision): (Vec<Change>, u64)) {
+        self.revision = self.revision.max(revision);
         for change in &changes {
-            owner = match change {
+            self.owner = match change {
                 Change::Put(item) => {
-                    at_revision = item.revision;
+                    self.at_revision = item.revision;
                     read(item)
                 }
                 Change::Removed(_) => None,
@@ -148,6 +142,15 @@
     }
 }
 
+async fn look(shared: &Shared) -> Result<Seen> {
+    let (items, revision) = shared.store.range(OWNER).await?;
+    Ok(Seen {
+        owner: items.first().and_then(read),
+        revision,
+        at_revision: items.first().map_or(0, |item| item.revision),
+    })
+}
+
 /// Returns whether nothing listens at an owner's address, three times in a row: its process is
 /// gone, where a host that is cut off would be silent. A mistake costs a takeover and no more,
 /// since the old owner's orders and writes are refused.
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -139,7 +139,7 @@
             }
         }
         PeerCall::Yield(epoch) => {
-            shared.note_yield(epoch);
+            shared.owner_yields.ask(epoch);
             PeerAnswer::Done
         }
         call => match shared.local_owner() {
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -20,6 +20,27 @@
 /// milliseconds: a look at the configuration may miss a change for a second.
 const KEY_MARGIN_MS: u64 = 1_400;
 
+/// The newest owner that asked to be replaced.
+#[derive(Debug, Default)]
+pub struct Yields {
+    epoch: AtomicU64,
+    asked: Notify,
+}
+
+impl Yields {
+    /// Takes in that the owner of an epoch asks to be replaced.
+    pub fn ask(&self, epoch: u64) {
+        self.epoch.fetch_max(epoch, Ordering::Relaxed);
+        self.asked.notify_one();
+    }
+
+    /// Waits for the next time and returns the epoch.
+    pub async fn notified(&self) -> u64 {
+        self.asked.notified().await;
+        self.epoch.load(Ordering::Relaxed)
+    }
+}
+
 /// What the parts of one gate share.
 #[derive(Debug)]
 pub struct Shared {
@@ -39,8 +60,8 @@
     pub local: Mutex<Option<OwnerHandle>>,
     /// Wakes when a call found that nothing listens at the owner's address.
     pub owner_gone: Notify,
-    /// Wakes when the owner asks another gate to take over.
-    pub owner_yields: Notify,
+    /// Tells of an owner that asks another gate to take over.
+    pub owner_yields: Yields,
     /// Counters and times.
     pub meters: Meters,
     /// When the last look at the configuration that was answered was sent.
@@ -62,7 +83,7 @@
             owner: watch::Sender::new(None),
             local: Mutex::new(None),
             owner_gone: Notify::new(),
-            owner_yields: Notify::new(),
+            owner_yields: Yields::default(),
             meters: Meters::default(),
             evidence: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -101,18 +122,6 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
-    /// Takes in that the owner of an epoch wants to be replaced.
-    pub fn note_yield(&self, epoch: u64) {
-        let current = self
-            .owner
-            .borrow()
-            .as_ref()
-            .is_some_and(|it| it.epoch == epoch);
-        if current && !self.is_stopping() {
-            self.owner_yields.notify_one();
-        }
-    }
-
     /// Returns the way to the owner, when it is this gate.
     pub fn local_owner(&self) -> Option<OwnerHandle> {
         self.local
