Give test gates ports that no connection takes

The log has "listening on 127.0.0.1:36571: Address already in use" before it: the test asked the system for a free port and let it go, and a connection of another gate was given the same port before this gate listened (the system gives connections 32768 to 60999).

Change: test gates are given ports from 20000 on, each once, if nobody listens there.

--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -32,9 +33,20 @@
     }
 }
 
+/// The first port that gates are given: below those that the system gives to connections, which
+/// may take one between this look and the start of a gate.
+const FIRST_PORT: u16 = 20_000;
+
+/// Returns an address that nobody listens on and that no other gate of these tests is given.
 fn port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Gate {
@@ -333,7 +345,7 @@
     assert_eq!(other.submit("0000000000004000", 1, 100).await.status, 200);
     other.until_state("0000000000004000", "completed").await;
     platform.store.set(Trouble::HoldsLeases);
-    closed.store(true, std::sync::atomic::Ordering::Relaxed);
+    closed.store(true, Ordering::Relaxed);
     assert_eq!(other.submit("0000000000004001", 2, 100).await.status, 200);
     other.until_state("0000000000004001", "completed").await;
     assert_eq!(platform.starts("0000000000004001").len(), 2);
