Say once what a reservation, a label, a claim and a broken gang are

A pass went through all hosts twice, for the most and for the sum of free room. hosts_for had a case for no tasks that its last caller had lost.

Change: break_gang, Host::kept_from, HostEntry::has_label, Director::claim, StepSpec::taken, Director::is_open, Owner::configure; one pass over the hosts. No test was changed.

--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -1,4 +1,5 @@
-//! Which gate asks the advice service, which serves one call of each host at a time.
+//! The gates that greet the owner, and which of them asks the advice service: it serves one call of
+//! each host at a time.
 
 use std::collections::BTreeMap;
 
--- a/wigeongate-core/src/workflow/advise.rs
+++ b/wigeongate-core/src/workflow/advise.rs
@@ -170,9 +170,6 @@
 
     /// Returns how many of the hosts have to be named so that the good ones take so many tasks.
     fn hosts_for(&self, need: &Need<'_>, counts: impl Iterator<Item = u64>, wanted: u64) -> usize {
-        if wanted == 0 {
-            return 0;
-        }
         let share = self.good_share(need);
         let most = self.most_hosts();
         let mut expected = 0.0;
@@ -218,13 +215,7 @@
     /// Returns how much room to keep on which hosts.
     fn reservations(&self, need: &Need<'_>) -> Vec<(HostId, Resources)> {
         let now = need.now;
-        let is_theirs = |host: &Host| {
-            host.reserved.is_some_and(|reserved| {
-                reserved.until > now
-                    && reserved.step != need.step
-                    && reserved.priority <= need.priority
-            })
-        };
+        let is_theirs = |host: &Host| host.kept_from(need.step, need.priority, now).is_some();
         let is_ours = |host: &Host| host.reserved.is_some_and(|it| it.step == need.step);
         let mut ranked: Vec<(u64, &HostId, &Host)> = self
             .hosts
--- a/wigeongate-core/src/workflow/answers.rs
+++ b/wigeongate-core/src/workflow/answers.rs
@@ -20,11 +20,7 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) -> bool {
-        let Some(claim) = self
-            .hosts
-            .get_mut(id)
-            .and_then(|host| host.claims.get_mut(&key))
-        else {
+        let Some(claim) = self.claim(id, key) else {
             return false;
         };
         match result {
@@ -41,11 +37,7 @@
             StartResult::Unknown => {
                 if claim.stage == Stage::Ordered {
                     self.stop(id, key, now, out);
-                    if let Some(claim) = self
-                        .hosts
-                        .get_mut(id)
-                        .and_then(|host| host.claims.get_mut(&key))
-                    {
+                    if let Some(claim) = self.claim(id, key) {
                         claim.stage = Stage::Doubt;
                     }
                 }
@@ -89,11 +81,7 @@
 
     /// Takes in that a stop was answered.
     pub fn stop_result(&mut self, id: &HostId, key: RunKey, now: Millis) {
-        if let Some(claim) = self
-            .hosts
-            .get_mut(id)
-            .and_then(|host| host.claims.get_mut(&key))
-        {
+        if let Some(claim) = self.claim(id, key) {
             claim.stopped = Some(now);
         }
     }
--- a/wigeongate-core/src/workflow/director.rs
+++ b/wigeongate-core/src/workflow/director.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::allowance::Allowances;
-use super::host::{Host, HostEntry, RunKey, Stage};
+use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Shown, Step};
 use super::message::{Action, How, StopOrder};
 use super::pass::Pass;
@@ -335,7 +335,7 @@
                     }));
                 }
             }
-            let settles = |claim: &super::host::Claim| {
+            let settles = |claim: &Claim| {
                 matches!(claim.stage, Stage::Doubt | Stage::Stopping)
                     && claim
                         .stopped
@@ -436,13 +436,14 @@
         }
     }
 
+    /// Returns the room that a run takes on a host.
+    pub(super) fn claim(&mut self, id: &HostId, run: RunKey) -> Option<&mut Claim> {
+        self.hosts.get_mut(id)?.claims.get_mut(&run)
+    }
+
     /// Orders a stop of a run, once.
     pub(super) fn stop(&mut self, id: &HostId, run: RunKey, now: Millis, out: &mut Vec<Action>) {
-        let Some(claim) = self
-            .hosts
-            .get_mut(id)
-            .and_then(|host| host.claims.get_mut(&run))
-        else {
+        let Some(claim) = self.claim(id, run) else {
             return;
         };
         let planned = claim.stage == Stage::Planned;
--- a/wigeongate-core/src/workflow/ends.rs
+++ b/wigeongate-core/src/workflow/ends.rs
@@ -118,10 +118,7 @@
         let done = self
             .task(running.task)
             .is_none_or(|task| task.phase == Phase::Done);
-        if let Some(claim) = self
-            .hosts
-            .get_mut(id)
-            .and_then(|host| host.claims.get_mut(&key))
+        if let Some(claim) = self.claim(id, key)
             && claim.stage == Stage::Ordered
         {
             claim.stage = Stage::Running;
@@ -368,7 +365,6 @@
     ) {
         let attempts = self.attempts(at);
         let Some(step) = self.step(at) else { return };
-        let members = step.runs(at);
         if !saved.is_empty() {
             for task in &mut step.tasks {
                 task.saved = Arc::from(saved);
@@ -393,11 +389,21 @@
                 return;
             }
         }
-        if members.iter().any(|(_, (_, other))| *other > run) {
+        let is_newer = |(_, (_, other)): &(HostId, RunKey)| *other > run;
+        if self
+            .step(at)
+            .is_none_or(|step| step.runs(at).iter().any(is_newer))
+        {
             return;
         }
+        self.break_gang(at, now, out);
+    }
+
+    /// Stops what is left of a gang that is not whole.
+    pub(super) fn break_gang(&mut self, at: StepId, now: Millis, out: &mut Vec<Action>) {
         let Some(step) = self.step(at) else { return };
         step.breaking = true;
+        let members = step.runs(at);
         for (host, run) in &members {
             self.stop(host, *run, now, out);
         }
@@ -407,7 +413,7 @@
     }
 
     /// Lets a gang of which nothing is left on any host start again.
-    pub(super) fn gang_again(&mut self, at: StepId, now: Millis) {
+    fn gang_again(&mut self, at: StepId, now: Millis) {
         let Some(step) = self.step(at) else { return };
         step.breaking = false;
         let run = step.run();
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -39,6 +39,13 @@
     pub born: u64,
 }
 
+impl HostEntry {
+    /// Returns whether the host has a label.
+    pub fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| own == label)
+    }
+}
+
 /// Where an ordered run stands on its host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stage {
@@ -136,17 +143,18 @@
         }
     }
 
+    /// Returns the room that is kept from a step of a priority, for another.
+    pub fn kept_from(&self, step: StepId, priority: u32, now: Millis) -> Option<&Reserved> {
+        self.reserved.as_ref().filter(|reserved| {
+            reserved.step != step && reserved.priority <= priority && reserved.until > now
+        })
+    }
+
     /// Returns the room that is left for a step of a priority.
     pub fn free(&self, step: StepId, priority: u32, now: Millis) -> Resources {
-        let mut used = self.used;
-        if let Some(reserved) = &self.reserved
-            && reserved.step != step
-            && reserved.priority <= priority
-            && reserved.until > now
-        {
-            used += reserved.size;
-        }
-        self.entry.capacity.saturating_sub(&used)
+        let kept = self.kept_from(step, priority, now);
+        let kept = kept.map_or(Resources::ZERO, |reserved| reserved.size);
+        self.entry.capacity.saturating_sub(&(self.used + kept))
     }
 
     /// Returns whether the host may get new work.
--- a/wigeongate-core/src/workflow/pass.rs
+++ b/wigeongate-core/src/workflow/pass.rs
@@ -28,12 +28,21 @@
 /// What a pass keeps count of.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
-    /// Free room of each service that no step before in the pass needs.
-    room: HashMap<String, Resources>,
+    /// Free room of the hosts of each service.
+    rooms: HashMap<String, Room>,
     /// Room within each team's limit that steps before in the pass wait for.
     held: HashMap<TeamId, Resources>,
 }
 
+/// Free room of the hosts of a service.
+#[derive(Debug, Clone, Copy, Default)]
+struct Room {
+    /// The most of each amount on one host.
+    most: Resources,
+    /// On all hosts, as far as no step before in the pass needs it.
+    left: Resources,
+}
+
 /// The place of a step in a pass; the smallest goes first.
 type Order = (Rank, u32, Millis, StepId);
 
@@ -44,36 +53,32 @@
             return;
         }
         self.dirty = false;
-        let room = self.rooms(now, |one, other| one.max(&other));
+        self.pass = Pass {
+            rooms: self.rooms(now),
+            held: HashMap::default(),
+        };
         let mut steps: Vec<Order> = self
             .ready
             .iter()
-            .filter_map(|step| self.order(*step, now, &room))
+            .filter_map(|step| self.order(*step, now))
             .collect();
         steps.sort_unstable();
-        self.pass = Pass {
-            room: self.rooms(now, |one, other| one + other),
-            held: HashMap::default(),
-        };
         for (rank, _, _, step) in steps.into_iter().take(MOST_STEPS) {
             self.place_step(step, rank, now, out);
         }
     }
 
-    /// Returns the free room of the hosts of each service, put together by `merge`.
-    fn rooms(
-        &self,
-        now: Millis,
-        merge: impl Fn(Resources, Resources) -> Resources,
-    ) -> HashMap<String, Resources> {
-        let mut rooms: HashMap<String, Resources> = HashMap::default();
+    /// Returns the free room of the hosts of each service.
+    fn rooms(&self, now: Millis) -> HashMap<String, Room> {
+        let mut rooms: HashMap<String, Room> = HashMap::default();
         for host in self.hosts.values().filter(|host| host.takes_work(now)) {
             let free = host.entry.capacity.saturating_sub(&host.used);
-            match rooms.get_mut(&host.entry.service) {
-                Some(room) => *room = merge(*room, free),
-                None => {
-                    rooms.insert(host.entry.service.clone(), free);
-                }
+            if !rooms.contains_key(&host.entry.service) {
+                rooms.insert(host.entry.service.clone(), Room::default());
+            }
+            if let Some(room) = rooms.get_mut(&host.entry.service) {
+                room.most = room.most.max(&free);
+                room.left += free;
             }
         }
         rooms
@@ -82,15 +87,15 @@
     /// Takes room for waiting tasks out of what the rest of the pass may ask advice for; returns
     /// whether there was any.
     fn promise(&mut self, service: &str, wanted: Resources) -> bool {
-        let Some(room) = self.pass.room.get_mut(service) else {
+        let Some(room) = self.pass.rooms.get_mut(service) else {
             return false;
         };
-        let any = room.cpu > 0 && room.memory > 0;
-        *room = room.saturating_sub(&wanted);
+        let any = room.left.cpu > 0 && room.left.memory > 0;
+        room.left = room.left.saturating_sub(&wanted);
         any
     }
 
-    fn order(&self, at: StepId, now: Millis, room: &HashMap<String, Resources>) -> Option<Order> {
+    fn order(&self, at: StepId, now: Millis) -> Option<Order> {
         let job = self.jobs.get(&at.job)?;
         if job.end.is_some() {
             return None;
@@ -101,7 +106,13 @@
             return None;
         }
         let unknown = step.spec.gang && rules.advice.is_some();
-        if !unknown && !step.spec.fills && !step.spec.size.fits_in(room.get(&rules.service)?) {
+        if !unknown
+            && !step.spec.fills
+            && !step
+                .spec
+                .size
+                .fits_in(&self.pass.rooms.get(&rules.service)?.most)
+        {
             return None;
         }
         let rank = job.rank(now, step.spec.estimate);
@@ -218,19 +229,6 @@
         }
     }
 
-    /// Stops what is left of a gang that is not whole.
-    fn break_gang(&mut self, at: StepId, now: Millis, out: &mut Vec<Action>) {
-        let Some(step) = self.step(at) else { return };
-        step.breaking = true;
-        let members = step.runs(at);
-        for (host, run) in &members {
-            self.stop(host, *run, now, out);
-        }
-        if members.is_empty() {
-            self.gang_again(at, now);
-        }
-    }
-
     /// Returns whether a team may start so many more tasks of a step.
     fn within_limit(&self, at: StepId, count: u32) -> bool {
         let Some((team, maximum, size)) = self.limit(at) else {
@@ -277,10 +275,7 @@
         let Some(step) = self.step(name.step) else {
             return;
         };
-        let mut size = step.spec.size;
-        if step.spec.fills {
-            size.cpu = 0;
-        }
+        let size = step.spec.taken();
         let ticket = step.known.good.get(id).map(|(ticket, _)| ticket.clone());
         let Some(task) = step.task(name.index) else {
             return;
--- a/wigeongate-core/src/workflow/places.rs
+++ b/wigeongate-core/src/workflow/places.rs
@@ -51,17 +51,13 @@
         now: Millis,
     ) -> Self {
         let spec = &step.spec;
-        let mut size = spec.size;
-        if spec.fills {
-            size.cpu = 0;
-        }
         Self {
             step: at,
             queue,
             service: &rules.service,
             priority: rules.priority,
             count: step.waiting,
-            size,
+            size: spec.taken(),
             gang: spec.gang,
             same_rack: spec.same_rack,
             per_host: spec.per_host,
@@ -85,14 +81,18 @@
         Some(Need::of(at, job.step(at)?, &job.flow.queue, rules, now))
     }
 
+    /// Returns whether a host may get new work of any kind.
+    pub(super) fn is_open(&self, host: &Host, now: Millis) -> bool {
+        host.takes_work(now) && !self.rules.evacuated.contains(&host.entry.zone)
+    }
+
     /// Returns whether a host may run a step at all, with room or without.
     pub(super) fn may_run(&self, host: &Host, need: &Need<'_>, now: Millis) -> bool {
-        host.takes_work(now)
+        self.is_open(host, now)
             && host.entry.service == need.service
-            && !self.rules.evacuated.contains(&host.entry.zone)
             && need
                 .requires
-                .is_none_or(|label| host.entry.labels.iter().any(|own| own == label))
+                .is_none_or(|label| host.entry.has_label(label))
     }
 
     /// Returns how many tasks of a step a host has room for.
@@ -126,7 +126,7 @@
         let rank = |(id, host): &(&HostId, &Host)| {
             let far = need
                 .affinity
-                .is_some_and(|rack| !host.entry.labels.iter().any(|label| label == rack));
+                .is_some_and(|rack| !host.entry.has_label(rack));
             let failed = failed_on == Some(*id);
             let left = host.free(need.step, need.priority, need.now);
             (failed, far, left.cpu, (*id).clone())
@@ -166,7 +166,7 @@
             for rack in racks {
                 let on_rack = rooms
                     .iter()
-                    .filter(|(_, _, host)| host.entry.labels.iter().any(|label| label == rack));
+                    .filter(|(_, _, host)| host.entry.has_label(rack));
                 if let Some(places) = fill(on_rack, need.count) {
                     return Some(places);
                 }
--- a/wigeongate-core/src/workflow/plans.rs
+++ b/wigeongate-core/src/workflow/plans.rs
@@ -32,11 +32,7 @@
         while let Some(mut plan) = self.plans.pop_front_if(|plan| plan.record <= written) {
             let key = (plan.order.task, plan.order.run);
             let is_right = self.is_right(&plan, now) && self.renew_ticket(&mut plan, now);
-            let Some(claim) = self
-                .hosts
-                .get_mut(&plan.order.host)
-                .and_then(|host| host.claims.get_mut(&key))
-            else {
+            let Some(claim) = self.claim(&plan.order.host, key) else {
                 // The host has ended or started anew since.
                 continue;
             };
@@ -53,12 +49,9 @@
 
     /// Returns whether a planned start may still be ordered.
     fn is_right(&self, plan: &Plan, now: Millis) -> bool {
-        let Some(host) = self.hosts.get(&plan.order.host) else {
-            return false;
-        };
         let in_time = now.since(plan.decided).0 <= STALE_MS;
-        let evacuated = self.rules.evacuated.contains(&host.entry.zone);
-        in_time && !evacuated && host.takes_work(now)
+        let host = self.hosts.get(&plan.order.host);
+        in_time && host.is_some_and(|host| self.is_open(host, now))
     }
 
     /// Puts the newest ticket into an order that needs one; returns whether it is good.
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -118,6 +118,20 @@
     pub may_miss: u32,
 }
 
+impl StepSpec {
+    /// Returns what one task takes of a host's room.
+    pub const fn taken(&self) -> Resources {
+        if self.fills {
+            Resources {
+                cpu: 0,
+                ..self.size
+            }
+        } else {
+            self.size
+        }
+    }
+}
+
 /// A job that runs several times.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Repeat {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -233,12 +233,17 @@
         self.director.is_dirty() && self.valid.load(Ordering::Relaxed) && !self.log.is_behind()
     }
 
-    /// Reads accepted jobs and the log.
-    async fn load(&mut self) -> Result<()> {
-        let begun = self.shared.now();
+    /// Puts the configuration of this gate in force.
+    fn configure(&mut self) {
         if let Some(manifest) = (**self.shared.manifest.load()).clone() {
             self.director.configure(Arc::clone(&manifest.rules));
         }
+    }
+
+    /// Reads accepted jobs and the log.
+    async fn load(&mut self) -> Result<()> {
+        let begun = self.shared.now();
+        self.configure();
         let (jobs, revision) = self.shared.store.range(JOBS).await?;
         self.jobs_revision = revision;
         let (batches, _) = self.shared.store.range(LOG).await?;
@@ -289,11 +294,7 @@
         let now = self.shared.now();
         match input {
             Input::Call(call, answer) => self.answer(call, answer, actions),
-            Input::Configure => {
-                if let Some(manifest) = (**self.shared.manifest.load()).clone() {
-                    self.director.configure(Arc::clone(&manifest.rules));
-                }
-            }
+            Input::Configure => self.configure(),
             Input::Hosts(list) => self.list(list),
             Input::Look(host, look) => {
                 self.note_ends(&host, &look);
