Keep running tasks on a host whose poll is under way

Host i-50fac2105a was cut off with its zone from 13.6 s to 17.5 s. Ruled out by the trace: a 421, a refusal, a reused connection. A tick handles all queued events first, since a paused process would expire leases whose polls are still queued. A claim without a listed end is released in one function that names its proof and is logged. Two other ways in are closed: an overtaken answer of an earlier boot, and a first report that is older than the runs it does not list. Measured: tests/workflow/leases.rs; with each guard taken out its test fails (2 starts for 1, [Refused, Fenced], [NewBoot]).

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -8,6 +8,7 @@
 mod allowance;
 mod host;
 mod host_choice;
+mod host_lease;
 mod job;
 mod message;
 mod order_results;
@@ -22,8 +23,8 @@
 
 pub use advice_gates::AdviceGates;
 pub use message::{
-    Action, Advice, Ended, HostReport, Refusal, RunOutcome, Running, StartOrder, StartResult,
-    StopOrder,
+    Action, Advice, Ended, HostReport, Proof, Refusal, RunOutcome, Running, StartOrder,
+    StartResult, StopOrder,
 };
 pub use restore::Record;
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
@@ -32,4 +33,5 @@
 pub use takeover::takeover_wait;
 
 pub use self::host::HostEntry;
+pub use self::host_lease::{HostLease, Poll};
 pub use self::job::WorkflowStatus;
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -106,8 +106,13 @@
     pub claims: HashMap<RunKey, Claim>,
     /// Sum of the claims; changes only together with `claims`.
     pub used: Resources,
-    /// When its tasks end without another call.
+    /// The time until which a poll has confirmed that its tasks may run.
     pub lease: Millis,
+    /// The time until which its tasks may run if every poll sent so far has taken effect; never
+    /// before `lease`.
+    pub runs_until: Millis,
+    /// When the poll of the newest applied report was sent.
+    pub reported: Millis,
     /// When an extra poll was last requested.
     pub polled: Millis,
     /// Capacity that is reserved for a step.
@@ -132,6 +137,8 @@
             claims: HashMap::default(),
             used: Resources::ZERO,
             lease: Millis::ZERO,
+            runs_until: Millis::ZERO,
+            reported: Millis::ZERO,
             polled: now,
             reservation: None,
             paused_until: Millis::ZERO,
--- /dev/null
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -0,0 +1,134 @@
+//! Tracks until when the tasks of a host may run, as each poll extends their leases.
+//!
+//! An executor carries out a poll before its answer arrives, and at times without an answer. Its
+//! tasks may therefore run until the latest deadline that was ever sent, while the host is trusted
+//! with new work only until the latest deadline that was confirmed. A host that is slow to answer
+//! after a partition must not lose its running tasks to other hosts.
+
+use crate::time::Millis;
+
+/// How much slower an executor's clock may run, in parts per thousand.
+const CLOCK_DRIFT_PER_MILLE: u64 = 21;
+
+/// The time added to a lease on the owner's side for the transit of an answer, in milliseconds.
+const TRANSIT_MS: u64 = 100;
+
+/// A poll that is about to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Poll {
+    /// The deadline to send, in milliseconds of the executor's clock; `None` leaves the leases as
+    /// they are.
+    pub deadline: Option<u64>,
+    /// The time until which tasks may run if the poll takes effect, on the caller's clock.
+    pub runs_until: Millis,
+}
+
+/// The last known state of an executor's clock and of the leases that it was given.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct HostLease {
+    /// The duration of a task lease.
+    lease: Millis,
+    /// The executor's clock in its last answer, in milliseconds; zero before the first answer.
+    clock_ms: u64,
+    /// When that answer arrived, by the caller's clock.
+    received: Millis,
+    /// The latest deadline that an answer confirmed, in milliseconds of the executor's clock; zero
+    /// for none.
+    confirmed: u64,
+    /// The latest deadline that was sent; never before `confirmed`.
+    sent: u64,
+    /// When the executor that answered last started, in milliseconds since 1970; identifies the
+    /// boot.
+    boot_ms: u64,
+    /// Whether the last poll got no answer. Leases are then not extended until the next answer, so
+    /// that they end on a host that receives calls but whose answers are lost.
+    unanswered: bool,
+}
+
+impl HostLease {
+    /// Creates the state of an executor that has not answered yet and gives leases of this
+    /// duration.
+    pub fn new(lease: Millis) -> Self {
+        Self {
+            lease,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether the executor has answered.
+    pub const fn has_answered(&self) -> bool {
+        self.clock_ms > 0
+    }
+
+    /// Returns the boot that answered last, in milliseconds since 1970.
+    pub const fn boot_ms(&self) -> u64 {
+        self.boot_ms
+    }
+
+    /// Returns the latest confirmed deadline on the executor's clock, in milliseconds; `None`
+    /// before the first.
+    pub fn deadline(&self) -> Option<u64> {
+        (self.confirmed > 0).then_some(self.confirmed)
+    }
+
+    /// Returns the time until which leases are confirmed, on the caller's clock.
+    pub fn confirmed_until(&self) -> Millis {
+        self.local(self.confirmed)
+    }
+
+    /// Plans a poll that is sent at `now`. Its deadline counts as sent from here on.
+    pub fn begin_poll(&mut self, now: Millis) -> Poll {
+        let deadline = match (self.has_answered(), self.unanswered) {
+            (false, _) => None,
+            (true, true) => self.deadline(),
+            (true, false) => Some(self.clock_ms + now.since(self.received).0 + self.lease.0),
+        };
+        self.sent = self.sent.max(deadline.unwrap_or_default());
+        Poll {
+            deadline,
+            runs_until: self.local(self.sent),
+        }
+    }
+
+    /// Applies an answer that arrived at `now`; returns the time until which leases are confirmed.
+    pub fn record_answer(
+        &mut self,
+        poll: Poll,
+        boot_ms: u64,
+        clock_ms: u64,
+        now: Millis,
+    ) -> Millis {
+        if self.boot_ms != boot_ms {
+            *self = Self::new(self.lease);
+        }
+        self.boot_ms = boot_ms;
+        self.unanswered = false;
+        self.clock_ms = clock_ms;
+        self.received = now;
+        self.confirmed = self.confirmed.max(poll.deadline.unwrap_or_default());
+        self.sent = self.sent.max(self.confirmed);
+        if self.confirmed > 0 {
+            return self.confirmed_until();
+        }
+        // This owner has sent no deadline, so runs may have the longest lease.
+        now + slowest(self.lease.0)
+    }
+
+    /// Records that a poll got no answer.
+    pub const fn record_silence(&mut self) {
+        self.unanswered = true;
+    }
+
+    /// Returns the caller's time at which a deadline has passed on the slowest executor's clock.
+    fn local(&self, deadline: u64) -> Millis {
+        if deadline == 0 {
+            return Millis::ZERO;
+        }
+        self.received + slowest(deadline.saturating_sub(self.clock_ms)) + Millis(TRANSIT_MS)
+    }
+}
+
+/// Returns how long a time on an executor's clock may take.
+const fn slowest(ms: u64) -> Millis {
+    Millis(ms + ms * CLOCK_DRIFT_PER_MILLE / 1_000)
+}
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -116,6 +116,39 @@
     Unknown,
 }
 
+/// Why a run that no report lists as ended can neither run now nor start later on its host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Proof {
+    /// The executor refused the start, or the order was not sent.
+    #[display("refused")]
+    Refused,
+    /// The start was decided but never ordered.
+    #[display("not ordered")]
+    NotOrdered,
+    /// A stop was answered, and a later report does not list the run.
+    #[display("stopped")]
+    Stopped,
+    /// Every lease that the executor may have received has expired.
+    #[display("lease expired")]
+    LeaseExpired,
+    /// The executor has restarted since the run was confirmed.
+    #[display("new boot")]
+    NewBoot,
+    /// The executor has seen this owner's epoch and does not list the run of an earlier owner.
+    #[display("fenced")]
+    Fenced,
+}
+
+impl Proof {
+    /// Returns the outcome of a run that ended in this way.
+    pub const fn outcome(self) -> RunOutcome {
+        match self {
+            Self::Refused | Self::NotOrdered | Self::Stopped => RunOutcome::Stopped,
+            Self::LeaseExpired | Self::NewBoot | Self::Fenced => RunOutcome::Lapsed,
+        }
+    }
+}
+
 /// An order to start a task.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartOrder {
@@ -169,6 +202,17 @@
         /// Expected duration of the call, in milliseconds.
         cost_ms: u64,
     },
+    /// Log that a run without a reported end has lost its claim.
+    Released {
+        /// The host of the run.
+        host: HostId,
+        /// The task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+        /// Why the run cannot exist any more.
+        proof: Proof,
+    },
     /// Append a record to the log; the order of the records matters.
     Record(Record),
     /// Poll a host immediately; the answer does not wait for a run to end.
--- a/wigeongate-core/src/workflow/order_results.rs
+++ b/wigeongate-core/src/workflow/order_results.rs
@@ -1,7 +1,7 @@
 //! Handles the answers of executors to start and stop orders.
 
 use super::host::{RunKey, Stage};
-use super::message::{Action, Refusal, RunOutcome, StartResult};
+use super::message::{Action, Proof, Refusal, StartResult};
 use super::scheduler::WorkflowScheduler;
 use crate::ids::HostId;
 use crate::time::Millis;
@@ -76,7 +76,7 @@
                 step.advice.allowed.remove(id);
             }
         }
-        self.finish(id, key, RunOutcome::Stopped, "", now, out);
+        self.release(id, key, Proof::Refused, now, out);
     }
 
     /// Records that a stop order was answered at `now`.
--- a/wigeongate-core/src/workflow/planned_starts.rs
+++ b/wigeongate-core/src/workflow/planned_starts.rs
@@ -3,7 +3,7 @@
 //! A new owner reads every record and therefore knows every start that was ever ordered.
 
 use super::host::Stage;
-use super::message::{Action, RunOutcome, StartOrder};
+use super::message::{Action, Proof, StartOrder};
 use super::scheduler::WorkflowScheduler;
 use crate::time::Millis;
 
@@ -43,7 +43,7 @@
                 claim.since = now;
                 out.push(Action::Start(plan.order));
             } else {
-                self.finish(&plan.order.host, key, RunOutcome::Stopped, "", now, out);
+                self.release(&plan.order.host, key, Proof::NotOrdered, now, out);
             }
         }
     }
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -4,7 +4,7 @@
 
 use super::host::{Claim, RunKey, Stage};
 use super::job::{Phase, WorkflowStatus};
-use super::message::{Action, Ended, HostReport, RunOutcome, Running};
+use super::message::{Action, Ended, HostReport, Proof, RunOutcome, Running};
 use super::restore::Record;
 use super::scheduler::{PendingForget, WorkflowScheduler};
 use super::spec::{StepId, TaskName};
@@ -23,6 +23,11 @@
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
+        if host.answered && host.boot_ms != report.boot_ms && report.sent <= host.reported {
+            // An answer of the earlier boot was overtaken by one of the current boot.
+            return;
+        }
+        host.reported = host.reported.max(report.sent);
         if host.answered && host.boot_ms != report.boot_ms {
             // The runs of the earlier boot are gone, but an unanswered order may still reach the
             // new one.
@@ -37,6 +42,7 @@
         host.boot_ms = report.boot_ms;
         let took = host.accepts_work(now);
         host.lease = host.lease.max(report.lease);
+        host.runs_until = host.runs_until.max(report.lease);
         let first = !host.answered;
         host.answered = true;
         self.dirty |= first || took != host.accepts_work(now);
@@ -64,7 +70,7 @@
             .map(|(run, _)| *run)
             .collect();
         for run in runs {
-            self.finish(id, run, RunOutcome::Lapsed, "", now, out);
+            self.release(id, run, Proof::NewBoot, now, out);
         }
     }
 
@@ -217,7 +223,7 @@
         let gone: Vec<RunKey> = host
             .claims
             .iter()
-            .filter(|(_, claim)| claim.stage == Stage::Running)
+            .filter(|(_, claim)| claim.stage == Stage::Running && claim.since < report.sent)
             .map(|(key, _)| *key)
             .filter(|key| {
                 !report
@@ -227,7 +233,7 @@
             })
             .collect();
         for key in gone {
-            self.finish(id, key, RunOutcome::Lapsed, "", now, out);
+            self.release(id, key, Proof::Fenced, now, out);
         }
     }
 
@@ -275,12 +281,31 @@
             }
         }
         for key in gone {
-            self.finish(id, key, RunOutcome::Stopped, "", now, out);
+            self.release(id, key, Proof::Stopped, now, out);
         }
     }
 
+    /// Ends a run whose end no report lists. The proof is what makes it safe to start the task
+    /// again; a host that is only silent proves nothing.
+    pub(super) fn release(
+        &mut self,
+        id: &HostId,
+        key: RunKey,
+        proof: Proof,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        out.push(Action::Released {
+            host: id.clone(),
+            task: key.0,
+            run: key.1,
+            proof,
+        });
+        self.finish(id, key, proof.outcome(), "", now, out);
+    }
+
     /// Ends a run: releases its claim and updates its task.
-    pub(super) fn finish(
+    fn finish(
         &mut self,
         id: &HostId,
         key: RunKey,
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -6,7 +6,7 @@
 use super::allowance::Allowances;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Step, WorkflowStatus};
-use super::message::{Action, RunOutcome, StopOrder};
+use super::message::{Action, Proof, StopOrder};
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
 use super::restore::Record;
@@ -150,10 +150,11 @@
         }
     }
 
-    /// Extends a host's lease after a poll without an answer; its tasks may run until then.
-    pub fn extend_lease(&mut self, id: &HostId, lease: Millis) {
+    /// Handles that a poll is sent which lets the tasks of a host run until the given time. The
+    /// executor may carry it out although no answer arrives, or arrives late.
+    pub fn poll_sent(&mut self, id: &HostId, runs_until: Millis) {
         if let Some(host) = self.hosts.get_mut(id) {
-            host.lease = host.lease.max(lease);
+            host.runs_until = host.runs_until.max(runs_until);
         }
     }
 
@@ -297,32 +298,33 @@
             .hosts
             .values()
             .filter(|host| {
-                let lease = if host.answered {
-                    host.lease
+                let runs_until = if host.answered {
+                    host.runs_until
                 } else {
                     // Earlier owners may have granted leases that are not known here.
-                    host.lease.max(self.took_over + self.settings.task_lease)
+                    host.runs_until
+                        .max(self.took_over + self.settings.task_lease)
                 };
-                (host.answered || !host.claims.is_empty()) && lease < now
+                (host.answered || !host.claims.is_empty()) && runs_until < now
             })
             .map(|host| host.entry.id.clone())
             .collect();
         for id in dead {
-            self.end_host_runs(&id, now, out);
+            self.release_expired(&id, now, out);
             if let Some(host) = self.hosts.get_mut(&id) {
                 host.answered = false;
             }
         }
     }
 
-    /// Ends every run on a host whose tasks have all stopped.
-    pub(super) fn end_host_runs(&mut self, id: &HostId, now: Millis, out: &mut Vec<Action>) {
+    /// Ends every run on a host whose leases have all expired.
+    fn release_expired(&mut self, id: &HostId, now: Millis, out: &mut Vec<Action>) {
         let Some(host) = self.hosts.get(id) else {
             return;
         };
         let runs: Vec<RunKey> = host.claims.keys().copied().collect();
         for run in runs {
-            self.finish(id, run, RunOutcome::Lapsed, "", now, out);
+            self.release(id, run, Proof::LeaseExpired, now, out);
         }
     }
 
--- /dev/null
+++ b/wigeongate-core/tests/workflow/leases.rs
@@ -0,0 +1,257 @@
+//! Hosts that are silent, slow to answer or answer in another order keep their running tasks.
+
+use std::sync::Arc;
+
+use wigeongate_core::ids::HostId;
+use wigeongate_core::resources::Resources;
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{
+    Action, HostLease, HostReport, Proof, Running, StartResult, WorkflowScheduler, WorkflowSettings,
+};
+
+use super::world::{flow, host, rules, step};
+use super::{CORE, place, starts, task};
+
+/// Duration of a task lease, in milliseconds.
+const LEASE_MS: u64 = 6_000;
+
+/// What happens to a poll after it was sent.
+enum Fate {
+    Answered,
+    Unanswered,
+    UnderWay,
+}
+
+/// Polls, each with the time at which it is sent, and what follows from them.
+struct Case {
+    name: &'static str,
+    polls: Vec<(u64, Fate)>,
+    /// The deadline of a further poll sent at 10 s, on the executor's clock.
+    deadline: Option<u64>,
+    confirmed_until: u64,
+    runs_until: u64,
+}
+
+#[test]
+fn a_lease_counts_from_the_moment_its_poll_is_sent() {
+    // The executor's clock reads 1 s at the caller's time 0. Leases last up to 2.1% and 100 ms
+    // longer on the caller's clock.
+    let cases = [
+        Case {
+            name: "before the first answer, no deadline is sent",
+            polls: vec![(100, Fate::Unanswered)],
+            deadline: None,
+            confirmed_until: 0,
+            runs_until: 0,
+        },
+        Case {
+            name: "an answer confirms the deadline of its poll",
+            polls: vec![(1_000, Fate::Answered), (2_000, Fate::Answered)],
+            deadline: Some(17_000),
+            confirmed_until: 2_000 + 6_126 + 100,
+            runs_until: 2_000 + 14_000 + 294 + 100,
+        },
+        Case {
+            name: "a poll under way may have extended the lease",
+            polls: vec![
+                (1_000, Fate::Answered),
+                (2_000, Fate::Answered),
+                (7_000, Fate::UnderWay),
+            ],
+            deadline: Some(17_000),
+            confirmed_until: 2_000 + 6_126 + 100,
+            runs_until: 2_000 + 14_000 + 294 + 100,
+        },
+        Case {
+            name: "after a poll without an answer no lease is extended",
+            polls: vec![
+                (1_000, Fate::Answered),
+                (2_000, Fate::Answered),
+                (7_000, Fate::Unanswered),
+            ],
+            deadline: Some(9_000),
+            confirmed_until: 2_000 + 6_126 + 100,
+            runs_until: 2_000 + 11_000 + 231 + 100,
+        },
+    ];
+    for case in cases {
+        let mut lease = HostLease::new(Millis(LEASE_MS));
+        for (at, fate) in case.polls {
+            let poll = lease.begin_poll(Millis(at));
+            match fate {
+                Fate::Answered => {
+                    lease.record_answer(poll, 1, at + 1_000, Millis(at));
+                }
+                Fate::Unanswered => lease.record_silence(),
+                Fate::UnderWay => {}
+            }
+        }
+        let poll = lease.begin_poll(Millis(10_000));
+        assert_eq!(poll.deadline, case.deadline, "{}", case.name);
+        assert_eq!(poll.runs_until, Millis(case.runs_until), "{}", case.name);
+        assert_eq!(
+            lease.confirmed_until(),
+            Millis(case.confirmed_until),
+            "{}",
+            case.name
+        );
+    }
+}
+
+/// A scheduler with two hosts, one of which runs a task that was ordered and confirmed.
+struct Fleet {
+    scheduler: WorkflowScheduler,
+    actions: Vec<Action>,
+    busy: HostId,
+}
+
+fn report(sent: u64, boot_ms: u64, running: Vec<Running>) -> HostReport {
+    HostReport {
+        boot_ms,
+        sent: Millis(sent),
+        lease: Millis(sent + LEASE_MS),
+        running,
+        ended: Vec::new(),
+    }
+}
+
+fn listed() -> Vec<Running> {
+    vec![Running {
+        task: task(7, 0, 0),
+        run: 1,
+        checkpoint: String::new(),
+    }]
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let now = Millis(10_000);
+        let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), now);
+        scheduler.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+        let mut actions = Vec::new();
+        for at in 0..2 {
+            scheduler.list_host(host(at, 8 * CORE), now);
+            let id = HostId::from(format!("w-{at}"));
+            scheduler.apply_report(&id, &report(10_000, 1, Vec::new()), now, &mut actions);
+        }
+        scheduler.submit(flow(7, vec![step(1, CORE)], None), now, Millis::ZERO);
+        place(&mut scheduler, now, &mut actions);
+        let busy = actions.iter().find_map(|action| match action {
+            Action::Start(order) => Some(order.host.clone()),
+            _ => None,
+        });
+        let busy = busy.expect("the task is ordered to start");
+        scheduler.start_result(
+            &busy,
+            (task(7, 0, 0), 1),
+            StartResult::Started,
+            Millis(10_010),
+            &mut actions,
+        );
+        Self {
+            scheduler,
+            actions,
+            busy,
+        }
+    }
+
+    /// Reports of the idle host keep it usable; the busy one is silent.
+    fn advance(&mut self, now: u64) {
+        let idle = HostId::from(if self.busy == HostId::from("w-0") {
+            "w-1"
+        } else {
+            "w-0"
+        });
+        let idle_report = report(now, 1, Vec::new());
+        self.scheduler
+            .apply_report(&idle, &idle_report, Millis(now), &mut self.actions);
+        self.scheduler.tick(Millis(now), now, &mut self.actions);
+        place(&mut self.scheduler, Millis(now), &mut self.actions);
+    }
+
+    fn released(&self) -> Vec<Proof> {
+        let proof = |action: &Action| match action {
+            Action::Released { proof, .. } => Some(*proof),
+            _ => None,
+        };
+        self.actions.iter().filter_map(proof).collect()
+    }
+}
+
+#[test]
+fn a_task_stays_on_a_host_whose_poll_is_under_way() {
+    // The host was cut off and is back. Its last confirmed lease ends at 16 s; a poll sent at 15 s
+    // extends it and is carried out, and its answer is late.
+    let mut fleet = Fleet::new();
+    fleet.scheduler.poll_sent(&fleet.busy, Millis(21_000));
+    fleet.advance(16_500);
+    assert_eq!(starts(&fleet.actions), 1);
+    let busy = fleet.busy.clone();
+    fleet.scheduler.apply_report(
+        &busy,
+        &report(15_000, 1, listed()),
+        Millis(16_600),
+        &mut fleet.actions,
+    );
+    fleet.advance(20_900);
+    assert_eq!(starts(&fleet.actions), 1);
+    // Without any further answer the task starts elsewhere once every lease has expired.
+    fleet.advance(21_010);
+    assert_eq!(starts(&fleet.actions), 2);
+    assert_eq!(fleet.released(), [Proof::LeaseExpired]);
+}
+
+#[test]
+fn a_poll_without_an_answer_gives_a_host_no_new_work() {
+    let mut fleet = Fleet::new();
+    fleet.scheduler.poll_sent(&fleet.busy, Millis(21_000));
+    // The other host is full, so that a second task fits only on the silent host.
+    fleet.advance(16_500);
+    let big = flow(8, vec![step(1, 8 * CORE), step(1, 8 * CORE)], None);
+    fleet.scheduler.submit(big, Millis(16_500), Millis::ZERO);
+    fleet.advance(16_510);
+    assert_eq!(starts(&fleet.actions), 2);
+}
+
+#[test]
+fn an_overtaken_answer_of_an_earlier_boot_changes_nothing() {
+    let mut fleet = Fleet::new();
+    let busy = fleet.busy.clone();
+    let reports = [
+        (report(11_000, 1, listed()), 11_010),
+        (report(10_500, 0, Vec::new()), 11_020),
+    ];
+    for (report, now) in reports {
+        fleet
+            .scheduler
+            .apply_report(&busy, &report, Millis(now), &mut fleet.actions);
+    }
+    fleet.advance(11_100);
+    assert_eq!(fleet.released(), []);
+    assert_eq!(starts(&fleet.actions), 1);
+}
+
+#[test]
+fn a_report_older_than_a_run_does_not_end_it() {
+    // An order named another boot, so the host has to report again. The answer to an earlier poll
+    // arrives, which was sent before the run started.
+    let mut fleet = Fleet::new();
+    let busy = fleet.busy.clone();
+    let other = flow(8, vec![step(1, CORE)], None);
+    fleet.scheduler.submit(other, Millis(10_020), Millis::ZERO);
+    place(&mut fleet.scheduler, Millis(10_020), &mut fleet.actions);
+    fleet.scheduler.start_result(
+        &busy,
+        (task(8, 0, 0), 1),
+        StartResult::Refused(wigeongate_core::workflow::Refusal::Boot),
+        Millis(10_030),
+        &mut fleet.actions,
+    );
+    fleet.scheduler.apply_report(
+        &busy,
+        &report(9_990, 1, Vec::new()),
+        Millis(10_040),
+        &mut fleet.actions,
+    );
+    assert_eq!(fleet.released(), [Proof::Refused]);
+}
--- a/wigeongate-core/tests/workflow/records.rs
+++ b/wigeongate-core/tests/workflow/records.rs
@@ -55,7 +55,7 @@
         };
         let report_and_place = |scheduler: &mut WorkflowScheduler, at: Millis| {
             let mut actions = Vec::new();
-            scheduler.extend_lease(&silent, Millis::ZERO);
+            scheduler.poll_sent(&silent, Millis::ZERO);
             scheduler.apply_report(&HostId::from("w-0"), &report(at), at, &mut actions);
             scheduler.tick(at, 0, &mut actions);
             scheduler.place(at, &mut actions);
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -666,6 +666,7 @@
                     let number = self.scheduler.last_record();
                     self.send(30, Message::Written(number));
                 }
+                Action::Released { .. } => {}
                 Action::Poll { host } => self.send(1, Message::Poll(host)),
                 Action::Forget {
                     host,
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -11,7 +11,7 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    HostEntry, HostReport, Refusal, StartOrder, StartResult, StopOrder,
+    HostEntry, HostLease, HostReport, Refusal, StartOrder, StartResult, StopOrder,
 };
 use wigeongate_platform::executor::{ExecutorClient, PollError, Target};
 
@@ -40,45 +40,13 @@
 /// keeps these ends.
 const LOG_WRITE_TIMEOUT_MS: u64 = 400;
 
-/// How much slower an executor's clock may run, in parts per thousand.
-const CLOCK_DRIFT_PER_MILLE: u64 = 21;
-
-/// The time added to a lease on the owner's side for the transit of the answer, in milliseconds.
-const LEASE_MARGIN_MS: u64 = 100;
-
-/// The last known state of an executor's clock and of the leases that it was given.
-#[derive(Debug, Clone, Copy, Default)]
-struct ExecutorClock {
-    /// The executor's clock in its last answer, in milliseconds; zero before the first answer.
-    clock_ms: u64,
-    /// When that answer arrived, by this gate's clock.
-    received: Millis,
-    /// The latest lease deadline that was sent, in milliseconds of the executor's clock; zero if
-    /// none.
-    deadline: u64,
-    /// When the executor that answered last started, in milliseconds since 1970; identifies the
-    /// boot.
-    boot_ms: u64,
-    /// Whether the last poll got no answer. Leases are then not extended until the next answer, so
-    /// that they end on a host that receives calls but whose answers are lost.
-    unanswered: bool,
-}
-
-impl ExecutorClock {
-    /// Returns the time, by this gate's clock, until which runs may continue without another poll.
-    fn lease_end(&self) -> Millis {
-        let left = self.deadline.saturating_sub(self.clock_ms);
-        self.received + Millis(left + left * CLOCK_DRIFT_PER_MILLE / 1_000 + LEASE_MARGIN_MS)
-    }
-}
-
 #[derive(Debug)]
 struct LinkState {
     id: HostId,
     shared: Arc<Shared>,
     executors: ExecutorClient,
     target: Mutex<Target>,
-    executor_clock: Mutex<ExecutorClock>,
+    lease: Mutex<HostLease>,
     /// The number of the last end that is in the log, so that the executor may drop it.
     acked_end: AtomicU64,
     /// Wakes when `acked_end` may have grown.
@@ -119,7 +87,7 @@
                 boot: entry.id.to_string(),
                 epoch,
             }),
-            executor_clock: Mutex::default(),
+            lease: Mutex::new(HostLease::new(Millis(shared.settings.bounds.task_lease_ms))),
             acked_end: AtomicU64::new(0),
             acknowledged: Notify::new(),
             orders_allowed,
@@ -152,7 +120,7 @@
     /// Acknowledges the ends up to a number, which the executor then drops; ignored unless the
     /// executor's last answer came from the same boot.
     pub fn acknowledge_ends(&self, boot_ms: u64, number: u64) {
-        if locked(&self.state.executor_clock).boot_ms == boot_ms {
+        if locked(&self.state.lease).boot_ms() == boot_ms {
             self.state.acked_end.fetch_max(number, Ordering::Relaxed);
             self.state.acknowledged.notify_one();
         }
@@ -198,10 +166,8 @@
                     // After the first answer, and after a poll without an answer, only the next
                     // poll extends the leases. It must not wait for a run to end, so that its
                     // answer confirms the extension at once.
-                    let left = locked(&self.executor_clock)
-                        .lease_end()
-                        .since(self.shared.now())
-                        .0;
+                    let until = locked(&self.lease).confirmed_until();
+                    let left = until.since(self.shared.now()).0;
                     wait_ms = if left < 2 * POLL_WAIT_MS {
                         0
                     } else {
@@ -234,49 +200,32 @@
     /// without an answer.
     async fn poll(&self, wait_ms: u64) -> Option<u64> {
         let sent = self.shared.now();
-        let executor_clock = *locked(&self.executor_clock);
-        let lease_ms = self.shared.settings.bounds.task_lease_ms;
-        let deadline = if executor_clock.unanswered {
-            (executor_clock.deadline > 0).then_some(executor_clock.deadline)
-        } else {
-            (executor_clock.clock_ms > 0)
-                .then(|| executor_clock.clock_ms + sent.since(executor_clock.received).0 + lease_ms)
+        let (poll, has_answered) = {
+            let mut lease = locked(&self.lease);
+            (lease.begin_poll(sent), lease.has_answered())
         };
+        // The executor may carry out the poll long before its answer arrives.
+        self.send(OwnerEvent::PollSent(self.id.clone(), poll.runs_until));
         let acked_end = self.acked_end.load(Ordering::Relaxed);
-        let answer_ms = if executor_clock.clock_ms == 0 {
-            FIRST_ANSWER_TIMEOUT_MS
-        } else {
+        let answer_ms = if has_answered {
             ANSWER_TIMEOUT_MS
+        } else {
+            FIRST_ANSWER_TIMEOUT_MS
         };
         let report = self
             .executors
-            .poll(&self.target(), acked_end, deadline, wait_ms, answer_ms)
+            .poll(&self.target(), acked_end, poll.deadline, wait_ms, answer_ms)
             .await;
         let received = self.shared.now();
         match report {
             Ok(report) => {
                 let last = report.ended.last().map_or(0, |ended| ended.number);
                 let lease = {
-                    let mut executor_clock = locked(&self.executor_clock);
-                    if executor_clock.boot_ms != report.boot_ms {
-                        *executor_clock = ExecutorClock::default();
+                    let mut lease = locked(&self.lease);
+                    if lease.boot_ms() != report.boot_ms {
                         self.acked_end.store(0, Ordering::Relaxed);
                     }
-                    executor_clock.boot_ms = report.boot_ms;
-                    executor_clock.unanswered = false;
-                    executor_clock.clock_ms = report.clock_ms;
-                    executor_clock.received = received;
-                    let sent_deadline =
-                        deadline.filter(|_| executor_clock.deadline > 0 || deadline.is_some());
-                    executor_clock.deadline = executor_clock
-                        .deadline
-                        .max(sent_deadline.unwrap_or_default());
-                    if executor_clock.deadline == 0 {
-                        // This owner has sent no deadline, so runs may have the longest lease.
-                        received + Millis(lease_ms + lease_ms * CLOCK_DRIFT_PER_MILLE / 1_000)
-                    } else {
-                        executor_clock.lease_end()
-                    }
+                    lease.record_answer(poll, report.boot_ms, report.clock_ms, received)
                 };
                 self.send(OwnerEvent::HostReported(
                     self.id.clone(),
@@ -298,16 +247,7 @@
             }
             Err(error) => {
                 debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
-                let mut executor_clock = locked(&self.executor_clock);
-                executor_clock.unanswered = true;
-                executor_clock.deadline = executor_clock.deadline.max(deadline.unwrap_or_default());
-                let lease = if executor_clock.deadline > 0 {
-                    executor_clock.lease_end()
-                } else {
-                    Millis::ZERO
-                };
-                drop(executor_clock);
-                self.send(OwnerEvent::HostSilent(self.id.clone(), lease));
+                locked(&self.lease).record_silence();
                 None
             }
         }
@@ -317,19 +257,18 @@
         let _slot = self.order_slots.acquire().await;
         let started = self.shared.now();
         let run = (order.task, order.run);
-        let deadline = locked(&self.executor_clock).deadline;
+        let deadline = locked(&self.lease).deadline();
         let orders_allowed = self.orders_allowed.load(Ordering::Relaxed);
-        let result = if !orders_allowed || deadline == 0 {
-            StartResult::Refused(Refusal::NotSent)
-        } else {
-            match self.executors.start(&self.target(), &order, deadline).await {
+        let result = match deadline.filter(|_| orders_allowed) {
+            None => StartResult::Refused(Refusal::NotSent),
+            Some(deadline) => match self.executors.start(&self.target(), &order, deadline).await {
                 Ok(result) => result,
                 Err(error) => {
                     info!(task = %order.task, run = order.run, %error,
                         "hosts: the outcome of the start is unknown.");
                     StartResult::Unknown
                 }
-            }
+            },
         };
         match result {
             StartResult::Refused(refusal) => {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,8 +12,8 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Advice, AdviceGates, HostEntry, HostReport, Record, StartResult, StepId, TaskName,
-    Workflow, WorkflowScheduler, WorkflowSettings,
+    Action, Advice, AdviceGates, HostEntry, HostReport, Proof, Record, StartResult, StepId,
+    TaskName, Workflow, WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::AdviceClient;
@@ -52,8 +52,8 @@
     HostsListed(Vec<(HostEntry, String)>),
     /// An executor answered a poll.
     HostReported(HostId, HostReport),
-    /// A poll got no answer; runs on the host may continue until this time.
-    HostSilent(HostId, Millis),
+    /// A poll is being sent that lets runs on the host continue until this time.
+    PollSent(HostId, Millis),
     /// The result of an order to start a run.
     StartAnswered(HostId, (TaskName, u32), StartResult),
     /// An executor accepted an order to stop a run, at this time.
@@ -196,6 +196,11 @@
                     }
                 }
                 _ = ticks.tick() => {
+                    // A tick ends what has expired, so it must see every event before it: after a
+                    // pause of the process, reports and sent polls are still queued.
+                    while let Ok(event) = receiver.try_recv() {
+                        self.handle_event(event, &mut actions);
+                    }
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.clean_up();
                 }
@@ -327,7 +332,7 @@
                     info!(epoch = self.epoch, "owner: every listed host has answered.");
                 }
             }
-            OwnerEvent::HostSilent(host, lease) => self.scheduler.extend_lease(&host, lease),
+            OwnerEvent::PollSent(host, runs_until) => self.scheduler.poll_sent(&host, runs_until),
             OwnerEvent::StartAnswered(host, run, result) => {
                 self.fenced |= self
                     .scheduler
@@ -474,6 +479,16 @@
                 hosts,
                 cost_ms,
             } => self.advise(step, hosts, cost_ms),
+            Action::Released {
+                host,
+                task,
+                run,
+                proof,
+            } => {
+                if proof != Proof::Refused {
+                    info!(%task, run, %host, %proof, "owner: the run ended without a report.");
+                }
+            }
             Action::Record(record) => {
                 if let Record::Ended(job, status) = &record {
                     info!(job = %job, shown = %status, "owner: the job ended.");
