--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -22,7 +22,7 @@
 mod spec;
 mod takeover;
 
-pub use advice_gates::AdviceGates;
+pub use advice_gates::{AdviceGates, greeting_delay};
 pub use message::{
     Action, Advice, Ended, HostReport, Proof, Refusal, RunOutcome, Running, StartOrder,
     StartResult, StopOrder,
--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -1,5 +1,8 @@
 //! Spreads calls to the advice service over the gates that have greeted the owner; the service
 //! handles one call from each host at a time.
+//!
+//! Load pattern: right after a takeover every open step asks for advice, and the new owner knows no
+//! gate but its own. Gates therefore greet each new owner as soon as they learn of it.
 
 use std::collections::BTreeMap;
 
@@ -10,6 +13,12 @@
 /// owner every second.
 const GREETING_TIMEOUT_MS: u64 = 2_500;
 
+/// The time between greetings of a gate that the owner knows, in milliseconds.
+const GREETING_INTERVAL_MS: u64 = 1_000;
+
+/// The time between greetings of a gate that the owner has not answered, in milliseconds.
+const FIRST_GREETING_MS: u64 = 150;
+
 /// The longest backlog of advice calls at a gate, in milliseconds: with a longer one, tickets would
 /// expire before they are used.
 const MAX_BACKLOG_MS: u64 = 1_500;
@@ -22,6 +31,16 @@
 /// calls.
 const LONG_CALL_GATES_PERCENT: usize = 60;
 
+/// Returns the delay until a gate greets the owner again; `greeted` is whether the current owner
+/// has answered.
+pub const fn greeting_delay(greeted: bool) -> Millis {
+    Millis(if greeted {
+        GREETING_INTERVAL_MS
+    } else {
+        FIRST_GREETING_MS
+    })
+}
+
 /// A gate that calls the advice service.
 #[derive(Debug)]
 struct Gate {
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -3,12 +3,13 @@
 use std::sync::Arc;
 
 use wigeongate_core::collections::HashSet;
-use wigeongate_core::ids::HostId;
+use wigeongate_core::ids::{GateId, HostId};
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Advice, AdviceCost, Candidate, Ended, GangCall, GangDemand, HostReport, Rules,
-    RunOutcome, Running, StepId, StepSpec, WorkflowScheduler, WorkflowSettings, plan_gang_call,
+    Action, Advice, AdviceCost, AdviceGates, Candidate, Ended, GangCall, GangDemand, HostReport,
+    Rules, RunOutcome, Running, StepId, StepSpec, WorkflowScheduler, WorkflowSettings,
+    greeting_delay, plan_gang_call,
 };
 
 use crate::world::{flow, host, queue, rules, step};
@@ -138,6 +139,24 @@
     }
 }
 
+#[test]
+fn a_new_owner_can_spread_its_calls_before_the_backlog_of_its_own_gate_is_full() {
+    // Forty steps ask right after a takeover. The other gates greet as soon as they have learned
+    // of the owner and been answered, which takes two attempts at most.
+    let mut gates = AdviceGates::new(GateId::from("gate-00"), NOW);
+    let greeted = NOW + greeting_delay(false) + greeting_delay(false);
+    for at in 1..47 {
+        let name = format!("gate-{at:02}");
+        gates.record_greeting(GateId::from(name.as_str()), name, greeted);
+    }
+    assert!(greeted.since(NOW) <= Millis(300), "{greeted}");
+    for call in 0..40 {
+        assert!(gates.assign(575, greeted).is_some(), "call {call}");
+    }
+    // A gate that is known greets several times before it would be dropped.
+    assert!(greeting_delay(true).0 * 2 < 2_500);
+}
+
 #[test]
 fn a_gang_that_knows_enough_hosts_asks_for_tickets_only() {
     let candidate = |at: u64, fits, ticket: Option<u64>| Candidate {
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tracing::{debug, warn};
 use wigeongate_core::ids::{GateId, HostId, QueueId};
-use wigeongate_core::workflow::{StepId, Workflow, WorkflowId, WorkflowStatus};
+use wigeongate_core::workflow::{StepId, Workflow, WorkflowId, WorkflowStatus, greeting_delay};
 use wigeongate_platform::http::{Call, CallError};
 
 use super::advice::AdviceClient;
@@ -160,18 +160,23 @@
     Response::new(Full::new(Bytes::from(encode(&answer))))
 }
 
-/// Registers this gate with the owner every second, until the process ends.
+/// Registers this gate with each new owner at once and then regularly, until the process ends.
 pub async fn send_hellos(shared: Arc<Shared>) {
-    /// The time between registrations, in seconds; the owner drops a gate after 2.5 s without one.
-    const HELLO_INTERVAL_S: u64 = 1;
+    let mut owner = shared.owner.subscribe();
+    let mut greeted = false;
     loop {
-        tokio::time::sleep(Duration::from_secs(HELLO_INTERVAL_S)).await;
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(greeting_delay(greeted).0)) => {}
+            changed = owner.changed() => greeted &= changed.is_err(),
+        }
         if shared.local_owner().is_some() || shared.is_stopping() {
             continue;
         }
         let settings = &shared.settings;
         let hello = PeerCall::Hello(settings.gate.clone(), settings.peer.to_string());
-        if let Err(error) = call_owner(&shared, hello).await {
+        let answer = call_owner(&shared, hello).await;
+        greeted = matches!(answer, Ok(PeerAnswer::Done));
+        if let Err(error) = answer {
             debug!(
                 error = format!("{error:#}"),
                 "peers: registering with the owner failed; trying again."
