--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -18,6 +18,7 @@
 mod reports;
 mod restore;
 mod rules;
+mod run_times;
 mod scheduler;
 mod spec;
 mod takeover;
@@ -29,6 +30,7 @@
 };
 pub use restore::Record;
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
+pub use run_times::RunTimes;
 pub use scheduler::{WorkflowScheduler, WorkflowSettings};
 pub use spec::{Repeat, StepId, StepSpec, TaskName, Workflow, WorkflowId, WorkflowSpec};
 pub use takeover::takeover_wait;
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -115,7 +115,8 @@
         {
             return None;
         }
-        let rank = job.rank(now, step.spec.estimate);
+        let remaining = self.run_times.expected(&job.flow.queue, step.spec.estimate);
+        let rank = job.rank(now, remaining);
         Some((rank, rules.priority, job.objective, at))
     }
 
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod leases;
 mod limits;
 mod records;
+mod run_times;
 mod world;
 
 use std::sync::Arc;
