Revert "Expect run times from the estimate and from what earlier tasks took"

Cause: the change was to keep gangs with a low estimate from counting as late. Change: reverts. A lower rank for gangs with a low estimate puts small work first, which may be why the correction does not pay; not isolated. Conclusion: estimates alone decide rank and objective, as before.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -18,7 +18,6 @@
 mod reports;
 mod restore;
 mod rules;
-mod run_times;
 mod scheduler;
 mod spec;
 mod takeover;
@@ -30,7 +29,6 @@
 };
 pub use restore::Record;
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
-pub use run_times::RunTimes;
 pub use scheduler::{WorkflowScheduler, WorkflowSettings};
 pub use spec::{Repeat, StepId, StepSpec, TaskName, Workflow, WorkflowId, WorkflowSpec};
 pub use takeover::takeover_wait;
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -147,16 +147,16 @@
 }
 
 impl Job {
-    /// Creates a job without runs; `path` is the expected run time of its longest chain of steps and
-    /// `age` the time since its acceptance.
-    pub fn new(flow: Workflow, rules: &QueueRules, path: Millis, now: Millis, age: Millis) -> Self {
+    /// Creates a job without runs; `age` is the time since its acceptance.
+    pub fn new(flow: Workflow, rules: &QueueRules, now: Millis, age: Millis) -> Self {
         #[expect(
             clippy::cast_precision_loss,
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "times of a day in milliseconds are exact"
         )]
-        let time_budget = Millis((path.0 as f64 * rules.stretch) as u64) + rules.target;
+        let time_budget =
+            Millis((flow.spec.critical_path().0 as f64 * rules.stretch) as u64) + rules.target;
         let occurrences = (0..flow.spec.occurrences())
             .map(|at| Occurrence::new(&flow, at))
             .collect();
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -115,8 +115,7 @@
         {
             return None;
         }
-        let remaining = self.run_times.expected(&job.flow.queue, step.spec.estimate);
-        let rank = job.rank(now, remaining);
+        let rank = job.rank(now, step.spec.estimate);
         Some((rank, rules.priority, job.objective, at))
     }
 
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -322,15 +322,7 @@
                 RunOutcome::Failed => host.record_failure(Some(name), now),
                 _ => {}
             }
-            let released = host.release(key);
-            if outcome == RunOutcome::Done
-                && let Some(claim) = &released
-                && let Some(job) = self.jobs.get(&name.step.job)
-            {
-                self.run_times
-                    .record(&job.flow.queue, now.since(claim.since));
-            }
-            if let Some(claim) = released
+            if let Some(claim) = host.release(key)
                 && let Some(team) = self
                     .jobs
                     .get(&name.step.job)
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -11,7 +11,6 @@
 use super::planned_starts::PlannedStart;
 use super::restore::Record;
 use super::rules::{QueueRules, Rules};
-use super::run_times::RunTimes;
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
 use crate::collections::HashMap;
 use crate::ids::{HostId, QueueId, TeamId};
@@ -94,8 +93,6 @@
     /// Steps that wait for the due time of their occurrence, in milliseconds since 1970.
     pub(super) due: BTreeSet<(u64, StepId)>,
     pub(super) wall_ms: u64,
-    /// How long tasks of each queue ran.
-    pub(super) run_times: RunTimes,
     /// Number of gates that can call the advice service.
     pub(super) advice_gates: usize,
     /// Hosts that advice has allowed and hosts that it was asked about, for each queue.
@@ -178,13 +175,10 @@
             return false;
         }
         let rules = self.queues.get(&flow.queue).cloned().unwrap_or_default();
-        let path = flow
-            .spec
-            .critical_path(|estimate| self.run_times.expected(&flow.queue, estimate));
         let over_share = self.allowances.exceeds_share(&flow, &self.rules.teams);
         let job = Job {
             over_share,
-            ..Job::new(flow, &rules, path, now, age)
+            ..Job::new(flow, &rules, now, age)
         };
         self.jobs.insert(id, job);
         for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -160,9 +160,8 @@
         self.repeat.map_or(1, |repeat| repeat.count)
     }
 
-    /// Returns the run time of the longest chain of dependent steps, whose tasks are expected to run
-    /// for as long as `expected` returns for their estimate.
-    pub fn critical_path(&self, expected: impl Fn(Millis) -> Millis) -> Millis {
+    /// Returns the estimated run time of the longest chain of dependent steps.
+    pub fn critical_path(&self) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let ready = step
@@ -170,7 +169,7 @@
                 .iter()
                 .filter_map(|at| ends.get(usize::from(*at)))
                 .max();
-            ends.push(ready.copied().unwrap_or_default() + expected(step.estimate));
+            ends.push(ready.copied().unwrap_or_default() + step.estimate);
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -4,7 +4,6 @@
 mod leases;
 mod limits;
 mod records;
-mod run_times;
 mod world;
 
 use std::sync::Arc;
