Revert "Give each late gang its turn on a bounded part of the fleet"

Under such load the first late gang holds an eighth of the hosts although its team is over its share and nothing is owed for it any more. Conclusion: a turn has to leave out teams over their share and be smaller while work is in time; next try.

--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
-use super::host::{Host, HostReservation, Purpose};
+use super::host::{Host, HostReservation};
 use super::host_choice::Need;
 use super::message::{Action, Advice};
 use super::rules::{AdviceCost, QueueRules};
@@ -32,14 +32,10 @@
 /// How long a reservation lasts beyond the expected duration of a call, in milliseconds.
 const RESERVE_MARGIN_MS: u64 = 300;
 
-/// At most one in this many hosts has a reservation for a gang that can meet its objective, since
-/// reserved capacity is idle until enough of it is free.
+/// At most one in this many hosts has a reservation for a gang, since reserved capacity is idle
+/// until enough of it is free.
 const RESERVED_DIVISOR: usize = 8;
 
-/// At most one in this many hosts has a reservation for a late gang, but for the first of them: each
-/// late gang gets its turn, and work that is in time keeps the rest of the fleet.
-const LATE_DIVISOR: usize = 32;
-
 /// The longest time for which a ticket must still be valid when a gang starts without another call,
 /// in milliseconds.
 const MAX_REFRESH_MS: u64 = 100;
@@ -252,24 +248,10 @@
 
     /// Reserves capacity for a gang until the given time, on as many of the hosts that may run it as
     /// its tasks need.
-    pub(super) fn reserve(
-        &mut self,
-        at: StepId,
-        rules: &QueueRules,
-        purpose: Purpose,
-        until: Millis,
-        now: Millis,
-    ) {
+    pub(super) fn reserve(&mut self, at: StepId, rules: &QueueRules, until: Millis, now: Millis) {
         if let Some(need) = self.need(at, rules, now) {
-            let amounts = self.reservations(&need, purpose);
-            let reservation = HostReservation {
-                step: at,
-                priority: rules.priority,
-                size: Resources::ZERO,
-                until,
-                purpose,
-            };
-            self.set_reservations(reservation, amounts, now);
+            let amounts = self.reservations(&need);
+            self.set_reservations(at, rules.priority, until, amounts);
         }
     }
 
@@ -300,45 +282,37 @@
             left -= tasks;
             amounts.push((id, need.size.times(tasks)));
         }
-        let reservation = HostReservation {
-            step: at,
-            priority: rules.priority,
-            size: Resources::ZERO,
-            until,
-            purpose: Purpose::Tickets,
-        };
-        self.set_reservations(reservation, amounts, now);
+        self.set_reservations(at, rules.priority, until, amounts);
     }
 
-    /// Sets a reservation on each host, with the amount for it.
     fn set_reservations(
         &mut self,
-        reservation: HostReservation,
+        step: StepId,
+        priority: u32,
+        until: Millis,
         amounts: Vec<(HostId, Resources)>,
-        now: Millis,
     ) {
         for (id, size) in amounts {
             if let Some(host) = self.hosts.get_mut(&id) {
-                host.reserve(
-                    HostReservation {
-                        size,
-                        ..reservation
-                    },
-                    now,
-                );
+                host.reservation = Some(HostReservation {
+                    step,
+                    priority,
+                    size,
+                    until,
+                });
             }
         }
     }
 
     /// Returns the hosts to reserve capacity on, with the amount for each.
-    fn reservations(&self, need: &Need<'_>, purpose: Purpose) -> Vec<(HostId, Resources)> {
+    fn reservations(&self, need: &Need<'_>) -> Vec<(HostId, Resources)> {
         let now = need.now;
-        let reserved_by_other = |host: &Host, purpose: Option<Purpose>| {
-            host.blocking_reservations(need.step, need.priority, now)
-                .any(|it| purpose.map_or(it.purpose != Purpose::Tickets, |own| it.purpose == own))
+        let reserved_by_other = |host: &Host| {
+            host.blocking_reservation(need.step, need.priority, now)
+                .is_some()
         };
         let reserved_by_step =
-            |host: &Host| host.reservations.iter().any(|it| it.step == need.step);
+            |host: &Host| host.reservation.is_some_and(|it| it.step == need.step);
         let mut ranked: Vec<(u64, &HostId, &Host)> = self
             .hosts
             .iter()
@@ -346,19 +320,10 @@
                 need.advice
                     .is_none_or(|advice| advice.allowed.contains_key(*id))
                     && self.may_run(host, need, now)
-                    && !reserved_by_other(host, None)
-                    && Self::max_tasks(host, need) > 0
+                    && !reserved_by_other(host)
             })
             .map(|(id, host)| (self.fitting_tasks(host, need, now), id, host))
             .collect();
-        let fits_empty: u64 = ranked
-            .iter()
-            .map(|(_, _, host)| Self::max_tasks(host, need))
-            .sum();
-        if fits_empty < u64::from(need.count) {
-            // Not even empty hosts would do, so that reserved capacity would idle for nothing.
-            return Vec::new();
-        }
         ranked.sort_by_key(|(count, id, host)| {
             (
                 !reserved_by_step(host),
@@ -369,14 +334,9 @@
         let others = self
             .hosts
             .values()
-            .filter(|host| reserved_by_other(host, Some(purpose)))
+            .filter(|host| reserved_by_other(host))
             .count();
-        let divisor = if purpose == Purpose::Late && others > 0 {
-            LATE_DIVISOR
-        } else {
-            RESERVED_DIVISOR
-        };
-        let most = (self.hosts.len() / divisor).saturating_sub(others);
+        let most = (self.hosts.len() / RESERVED_DIVISOR).saturating_sub(others);
         let mut left = u64::from(need.count);
         let mut reservations = Vec::new();
         for (_, id, host) in ranked.into_iter().take(most) {
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -75,17 +75,6 @@
     pub since: Millis,
 }
 
-/// What a reservation is for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Purpose {
-    /// A gang that can meet its objective.
-    InTime,
-    /// A gang that cannot.
-    Late,
-    /// A gang that fits and waits for its tickets only.
-    Tickets,
-}
-
 /// Capacity that is reserved for a step; a more urgent step may still use it.
 #[derive(Debug, Clone, Copy)]
 pub struct HostReservation {
@@ -97,8 +86,6 @@
     pub size: Resources,
     /// When the reservation expires.
     pub until: Millis,
-    /// What it is for, which bounds how many hosts have such a reservation.
-    pub purpose: Purpose,
 }
 
 /// A task and the number of its run.
@@ -128,8 +115,8 @@
     pub reported: Millis,
     /// When an extra poll was last requested.
     pub polled: Millis,
-    /// Capacity that is reserved for steps, at most one entry for each step.
-    pub reservations: Vec<HostReservation>,
+    /// Capacity that is reserved for a step.
+    pub reservation: Option<HostReservation>,
     /// When the host may get work again after failures.
     pub paused_until: Millis,
     failures: u32,
@@ -153,7 +140,7 @@
             runs_until: Millis::ZERO,
             reported: Millis::ZERO,
             polled: now,
-            reservations: Vec::new(),
+            reservation: None,
             paused_until: Millis::ZERO,
             failures: 0,
             pause_ms: FIRST_PAUSE_MS,
@@ -162,37 +149,22 @@
         }
     }
 
-    /// Returns the reservations of other steps that a step of this priority has to respect.
-    pub fn blocking_reservations(
+    /// Returns the reservation of another step that a step of this priority has to respect.
+    pub fn blocking_reservation(
         &self,
         step: StepId,
         priority: u32,
         now: Millis,
-    ) -> impl Iterator<Item = &HostReservation> {
-        self.reservations.iter().filter(move |reservation| {
+    ) -> Option<&HostReservation> {
+        self.reservation.as_ref().filter(|reservation| {
             reservation.step != step && reservation.priority <= priority && reservation.until > now
         })
     }
 
-    /// Adds a reservation, or replaces that of the same step.
-    pub fn reserve(&mut self, reservation: HostReservation, now: Millis) {
-        self.reservations
-            .retain(|other| other.step != reservation.step && other.until > now);
-        self.reservations.push(reservation);
-    }
-
-    /// Removes the reservation of a step.
-    pub fn unreserve(&mut self, step: StepId) {
-        self.reservations
-            .retain(|reservation| reservation.step != step);
-    }
-
     /// Returns the capacity that is free for a step of this priority.
     pub fn free(&self, step: StepId, priority: u32, now: Millis) -> Resources {
-        let reserved: Resources = self
-            .blocking_reservations(step, priority, now)
-            .map(|reservation| reservation.size)
-            .sum();
+        let reserved = self.blocking_reservation(step, priority, now);
+        let reserved = reserved.map_or(Resources::ZERO, |reservation| reservation.size);
         self.entry.capacity.saturating_sub(&(self.used + reserved))
     }
 
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, Purpose, Stage};
+use super::host::{Claim, Stage};
 use super::job::{Phase, Rank};
 use super::message::{Action, StartOrder};
 use super::planned_starts::PlannedStart;
@@ -105,8 +105,8 @@
         if step.waiting == 0 || step.not_before > now || step.gang_stopping {
             return None;
         }
-        // Gangs reserve capacity or learn their hosts before any is free.
-        if !step.spec.gang
+        let unknown = step.spec.gang && rules.advice.is_some();
+        if !unknown
             && !step.spec.fills
             && !step
                 .spec
@@ -217,17 +217,18 @@
         if let Some(cost) = rules.advice {
             self.ask_advice(at, rules, cost, now, out);
         }
-        let purpose = if rank == Rank::InTime {
-            Purpose::InTime
-        } else {
-            Purpose::Late
-        };
-        self.reserve(at, rules, purpose, now + Millis(RESERVE_MS), now);
+        // A gang that cannot meet its objective gets no reservation; it starts on capacity that
+        // other steps leave free.
+        if rank == Rank::InTime {
+            self.reserve(at, rules, now + Millis(RESERVE_MS), now);
+        }
     }
 
     fn unreserve(&mut self, at: StepId) {
         for host in self.hosts.values_mut() {
-            host.unreserve(at);
+            host.reservation = host
+                .reservation
+                .filter(|reservation| reservation.step != at);
         }
     }
 
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -158,33 +158,6 @@
     assert_eq!(world.starts, 2);
 }
 
-#[test]
-fn a_late_gang_gets_its_turn_on_a_fleet_that_stays_full() {
-    // Single tasks come as fast as 32 hosts of eight cores can run them. The gang needs
-    // four empty hosts and was accepted so long ago that its caller gains nothing any more.
-    let hosts = (0..32).map(|at| host(at, 8 * CORE)).collect();
-    let rules = rules(3, Resources::UNBOUNDED);
-    let mut world = World::new(1, hosts, rules, Faults::default());
-    world.run_for(100);
-    let gang = StepSpec {
-        gang: true,
-        ..step(4, 8 * CORE)
-    };
-    for at in 0..100 {
-        world.submit(flow(100 + at, vec![step(16, 2 * CORE)], None));
-        if at == 20 {
-            world.submit_aged(flow(7, vec![gang.clone()], None), 60_000);
-        }
-        world.run_for(50);
-    }
-    assert_eq!(world.violations, Vec::<String>::new());
-    assert_ne!(world.status(7), Some(WorkflowStatus::Queued));
-    let ended = (100..190)
-        .filter(|job| world.status(*job) == Some(WorkflowStatus::Completed))
-        .count();
-    assert!(ended >= 80, "{ended} of 90 other jobs");
-}
-
 #[test]
 fn a_cancelled_job_leaves_nothing_running() {
     let mut world = world(2, 3);
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -288,14 +288,8 @@
 
     /// Stores a job and submits it to the owner.
     pub fn submit(&mut self, flow: Workflow) {
-        self.submit_aged(flow, 0);
-    }
-
-    /// Submits a job that was accepted some milliseconds ago.
-    pub fn submit_aged(&mut self, flow: Workflow, age_ms: u64) {
         self.flows.push(flow.clone());
-        self.scheduler
-            .submit(flow, Millis(self.now), Millis(age_ms));
+        self.scheduler.submit(flow, Millis(self.now), Millis::ZERO);
     }
 
     pub fn cancel(&mut self, id: u64) {
