--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -51,6 +51,8 @@
     acked_end: AtomicU64,
     /// Wakes when `acked_end` may have grown.
     acknowledged: Notify,
+    /// Whether the newest poll was answered; each change is logged once.
+    answering: AtomicBool,
     /// Whether orders may be sent, which requires that the ownership is valid.
     orders_allowed: Arc<AtomicBool>,
     order_slots: Semaphore,
@@ -90,6 +92,7 @@
             lease: Mutex::new(HostLease::new(Millis(shared.settings.bounds.task_lease_ms))),
             acked_end: AtomicU64::new(0),
             acknowledged: Notify::new(),
+            answering: AtomicBool::new(false),
             orders_allowed,
             order_slots: Semaphore::new(MAX_PARALLEL_ORDERS),
             events,
@@ -220,6 +223,10 @@
         match report {
             Ok(report) => {
                 let last = report.ended.last().map_or(0, |ended| ended.number);
+                if !self.answering.swap(true, Ordering::Relaxed) {
+                    info!(host = %self.id, boot_ms = report.boot_ms,
+                        "hosts: the executor answers polls.");
+                }
                 let lease = {
                     let mut lease = locked(&self.lease);
                     if lease.boot_ms() != report.boot_ms {
@@ -246,7 +253,11 @@
                 None
             }
             Err(error) => {
-                debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
+                if self.answering.swap(false, Ordering::Relaxed) {
+                    info!(host = %self.id, %error, "hosts: the executor stopped answering polls.");
+                } else {
+                    debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
+                }
                 locked(&self.lease).record_silence();
                 None
             }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -485,8 +485,14 @@
                 run,
                 proof,
             } => {
+                self.shared.metrics.count("released", &proof.to_string());
+                let ran_ms = self
+                    .start_times
+                    .get(&task)
+                    .map(|at| self.shared.now().since(*at).0);
                 if proof != Proof::Refused {
-                    info!(%task, run, %host, %proof, "owner: the run ended without a report.");
+                    info!(%task, run, %host, %proof, ran_ms,
+                        "owner: the run ended without a report.");
                 }
             }
             Action::Record(record) => {
--- a/wigeongate/src/entry/registry.rs
+++ b/wigeongate/src/entry/registry.rs
@@ -54,7 +54,17 @@
         let is_changed = !changes.is_empty();
         for change in changes {
             match change {
-                Change::Put(item) => update_entry(&mut entries, &item.key, &item.value),
+                Change::Put(item) => {
+                    let known = entries.len();
+                    update_entry(&mut entries, &item.key, &item.value);
+                    if entries.len() > known {
+                        let id = item.key.strip_prefix(HOST_PREFIX).unwrap_or(&item.key);
+                        info!(
+                            host = id,
+                            revision, "registry: the host was added to the registry."
+                        );
+                    }
+                }
                 Change::Removed(key) => {
                     let id = key.strip_prefix(HOST_PREFIX).unwrap_or(&key);
                     info!(
