Reproduce tasks that crash host after host, as four tests that fail

Callers saw: jobs of all teams late or lost while one queue's jobs crash the hosts that start them; a task started on seven hosts in 35 s (BUDGET). Cause: not mended here. The tests separate four faults: the crash counts as nothing, the loss is noticed at the end of a lease, starts go on to a dead host, and damage by many bad jobs of a queue has no bound. Change: the simulated deployment of the core's tests knows deadly tasks, hosts that return under another id, and lease lengths; four tests are ignored as known red, one (a lost zone condemns no task) passes.

--- /dev/null
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -0,0 +1,212 @@
+//! Tasks that crash the hosts that start them, and hosts that are lost for other reasons.
+
+use wigeongate_core::ids::QueueId;
+use wigeongate_core::resources::Resources;
+use wigeongate_core::workflow::{QueueRules, StepSpec, Workflow, WorkflowStatus};
+
+use super::world::{Faults, World, flow, host, queue, rules, step};
+use super::{CORE, task};
+
+/// The hosts that one bad task may crash; with two, its job may be given up.
+const HOSTS_PER_TASK: usize = 2;
+
+/// How long a neighbour of a crash may wait until it runs again, in milliseconds: the successor of
+/// its host answers after 3.2 s.
+const NEIGHBOUR_WAIT_MS: u64 = 4_000;
+
+/// A task lease that outlasts the absence of a crashed host, in milliseconds.
+const LONG_LEASE_MS: u64 = 10_000;
+
+fn deployment(hosts: usize) -> World {
+    let hosts = (0..hosts).map(|at| host(at, 8 * CORE)).collect();
+    let rules = rules(3, Resources::UNBOUNDED);
+    let mut world = World::new(1, hosts, rules, Faults::default());
+    world.lease_ms = LONG_LEASE_MS;
+    world.take_over();
+    world.run_for(100);
+    world
+}
+
+fn completed(world: &World, jobs: impl IntoIterator<Item = u64>) -> usize {
+    let completed = |id: &u64| world.status(*id) == Some(WorkflowStatus::Completed);
+    jobs.into_iter().filter(completed).count()
+}
+
+/// A job with one bad task.
+struct BadJob {
+    name: &'static str,
+    step: StepSpec,
+    /// Whether the owner is replaced right after each crash.
+    takeovers: bool,
+}
+
+fn bad_jobs() -> [BadJob; 4] {
+    [
+        BadJob {
+            name: "one of three tasks is bad",
+            step: step(3, CORE),
+            takeovers: false,
+        },
+        BadJob {
+            name: "one member of a gang is bad",
+            step: StepSpec {
+                gang: true,
+                ..step(4, 4 * CORE)
+            },
+            takeovers: false,
+        },
+        BadJob {
+            name: "a service has a bad task",
+            step: StepSpec {
+                long_running: true,
+                ..step(2, CORE)
+            },
+            takeovers: false,
+        },
+        BadJob {
+            name: "the owner is lost after each crash",
+            step: step(3, CORE),
+            takeovers: true,
+        },
+    ]
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 26"]
+fn a_task_that_crashes_its_hosts_is_given_up_and_its_neighbours_complete() {
+    for case in bad_jobs() {
+        let mut world = deployment(8);
+        let bad = task(1, 0, 1);
+        world.make_deadly(bad);
+        let mut crashes = 0;
+        for at in 0..300 {
+            world.submit(flow(100 + at, vec![step(2, CORE)], None));
+            if at == 20 {
+                world.submit(flow(1, vec![case.step.clone()], None));
+            }
+            world.run_for(100);
+            if case.takeovers && world.crashes.len() > crashes {
+                world.take_over();
+            }
+            crashes = world.crashes.len();
+        }
+        world.run_for(8_000);
+        assert_eq!(
+            world.crashes_by(bad),
+            HOSTS_PER_TASK,
+            "{}: {:?}",
+            case.name,
+            world.crashes
+        );
+        assert_eq!(
+            world.status(1),
+            Some(WorkflowStatus::Failed),
+            "{}",
+            case.name
+        );
+        assert_eq!(completed(&world, 100..400), 300, "{}", case.name);
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 26"]
+fn neighbours_of_a_crash_start_again_once_their_hosts_successor_answers() {
+    let mut world = deployment(2);
+    let service = StepSpec {
+        long_running: true,
+        ..step(8, CORE)
+    };
+    world.submit(flow(7, vec![service], None));
+    world.run_for(1_000);
+    let lost = world.hosts_running(task(7, 0, 0))[0].clone();
+    world.kill_host(&lost);
+    world.run_for(NEIGHBOUR_WAIT_MS);
+    let away = (0..8).filter(|index| world.hosts_running(task(7, 0, *index)).is_empty());
+    assert_eq!(away.count(), 0);
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 26"]
+fn no_start_is_ordered_on_a_host_that_refuses_connections() {
+    let mut world = deployment(2);
+    world.submit(flow(7, vec![step(1, CORE)], None));
+    world.run_for(50);
+    let used = world.hosts_running(task(7, 0, 0))[0].clone();
+    world.kill_host(&used);
+    world.run_for(200);
+    let refused = world.refused_starts;
+    for at in 0..20 {
+        world.submit(flow(100 + at, vec![step(1, CORE)], None));
+        world.run_for(100);
+    }
+    assert_eq!(world.refused_starts, refused);
+}
+
+#[test]
+#[ignore = "KNOWN-RED: issue 26"]
+fn a_queue_with_many_bad_jobs_costs_other_queues_little() {
+    // A third of one queue's jobs crash their hosts for 10 s, and the owner is lost twice.
+    let hosts = (0..24).map(|at| host(at, 8 * CORE)).collect();
+    let mut rules = rules(3, Resources::UNBOUNDED);
+    let other = QueueId::from("proofs");
+    let base = rules.queues[&queue()].clone();
+    rules.queues.insert(other.clone(), QueueRules { ..base });
+    let mut world = World::new(3, hosts, rules, Faults::default());
+    world.run_for(100);
+    let mut bad = 0;
+    for at in 0..250 {
+        let proofs = Workflow {
+            queue: other.clone(),
+            ..flow(10_000 + at, vec![step(3, 2 * CORE)], None)
+        };
+        world.submit(proofs);
+        world.submit(flow(1_000 + at, vec![step(4, CORE)], None));
+        if at < 100 && at % 3 == 0 {
+            world.make_deadly(task(1_000 + at, 0, 2));
+            bad += 1;
+        }
+        if at == 30 || at == 60 {
+            world.take_over();
+        }
+        world.run_for(100);
+    }
+    world.run_for(15_000);
+    let is_proof = |name: &&wigeongate_core::workflow::TaskName| name.step.job.0 >= 10_000;
+    let lost = world.crashes.iter().flat_map(|crash| &crash.neighbours);
+    let lost = lost.filter(is_proof).count();
+    let most_crashes = world
+        .crashes
+        .iter()
+        .map(|crash| world.crashes_by(crash.cause))
+        .max();
+    assert!(
+        world.crashes.len() <= HOSTS_PER_TASK * bad,
+        "{}",
+        world.crashes.len()
+    );
+    assert!(most_crashes <= Some(HOSTS_PER_TASK), "{most_crashes:?}");
+    // Until two crashes point to the queue, its jobs run beside others.
+    assert!(lost <= 20, "{lost} runs of the other queue were lost");
+    assert_eq!(completed(&world, 10_000..10_250), 250);
+    assert_eq!(completed(&world, 1_000..1_250), 250 - bad);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn tasks_of_hosts_that_are_lost_together_are_not_given_up() {
+    // A zone loses power three times; young and old tasks run in it each time.
+    let mut world = deployment(12);
+    for at in 0..200 {
+        world.submit(flow(100 + at, vec![step(2, CORE)], None));
+        world.run_for(100);
+        if at % 60 == 30 {
+            for host in world.hosts_in_zone("a") {
+                world.kill_host(&host);
+            }
+        }
+    }
+    world.run_for(8_000);
+    assert_eq!(completed(&world, 100..300), 200);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -1,5 +1,7 @@
 //! Simulates executors and a store around a scheduler, injects faults and checks every start.
 
+mod outages;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -59,9 +61,30 @@
     next_end: u64,
     forgotten: u64,
     lease: u64,
+    /// Whether its process has ended for good; its successor has another identifier.
+    dead: bool,
+    /// Whether the registry lists it.
+    listed: bool,
 }
 
 impl Executor {
+    fn new(entry: HostEntry, boot_ms: u64) -> Self {
+        Self {
+            boot_ms,
+            fence: 0,
+            reachable: true,
+            running: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            forgotten: 0,
+            lease: 0,
+            dead: false,
+            listed: true,
+            entry,
+        }
+    }
+
     fn used(&self) -> Resources {
         self.running.values().map(|run| run.size).sum()
     }
@@ -93,6 +116,12 @@
     Result(HostId, (TaskName, u32), StartResult),
     Stopped(HostId, (TaskName, u32)),
     Reported(HostId, HostReport),
+    /// A task crashes its host.
+    Crash(HostId, TaskName),
+    /// The successor of a crashed host starts.
+    Return(HostId),
+    /// The registration of a crashed host expires.
+    Unlist(HostId),
 }
 
 /// Fault rates, in percent.
@@ -108,6 +137,15 @@
     pub takeover: u64,
 }
 
+/// A crash of a host.
+#[derive(Debug, Clone)]
+pub struct Crash {
+    /// The task that caused it.
+    pub cause: TaskName,
+    /// The other tasks that ran on the host.
+    pub neighbours: Vec<TaskName>,
+}
+
 /// A simulated deployment with its scheduler.
 #[derive(Debug)]
 pub struct World {
@@ -117,6 +155,8 @@
     pub scheduler: WorkflowScheduler,
     pub violations: Vec<String>,
     pub starts: u32,
+    /// Duration of a task lease, in milliseconds; in force from the next takeover on.
+    pub lease_ms: u64,
     epoch: u64,
     executors: BTreeMap<HostId, Executor>,
     messages: BTreeMap<(u64, u64), (u64, Message)>,
@@ -126,6 +166,12 @@
     unwritten: Vec<Record>,
     rules: Arc<Rules>,
     done: BTreeSet<TaskName>,
+    /// Tasks that crash each host that starts them.
+    deadly: BTreeSet<TaskName>,
+    /// The crashes of hosts by deadly tasks.
+    pub crashes: Vec<Crash>,
+    /// The number of starts that were ordered on hosts whose process had ended.
+    pub refused_starts: u32,
     failed: HashMap<TaskName, BTreeSet<u32>>,
     gang_failed: HashMap<StepId, BTreeSet<u32>>,
 }
@@ -214,6 +260,7 @@
             scheduler: WorkflowScheduler::default(),
             violations: Vec::new(),
             starts: 0,
+            lease_ms: LEASE_MS,
             epoch: 0,
             executors: BTreeMap::new(),
             messages: BTreeMap::new(),
@@ -223,23 +270,15 @@
             unwritten: Vec::new(),
             rules: Arc::new(rules),
             done: BTreeSet::new(),
+            deadly: BTreeSet::new(),
+            crashes: Vec::new(),
+            refused_starts: 0,
             failed: HashMap::default(),
             gang_failed: HashMap::default(),
         };
         for entry in hosts {
-            let executor = Executor {
-                boot_ms: 1,
-                fence: 0,
-                reachable: true,
-                running: BTreeMap::new(),
-                refused: BTreeMap::new(),
-                ended: Vec::new(),
-                next_end: 1,
-                forgotten: 0,
-                lease: 0,
-                entry: entry.clone(),
-            };
-            world.executors.insert(entry.id, executor);
+            let id = entry.id.clone();
+            world.executors.insert(id, Executor::new(entry, 1));
         }
         world.take_over();
         world
@@ -252,7 +291,7 @@
         let now = Millis(self.now);
         let settings = WorkflowSettings {
             epoch: self.epoch,
-            task_lease: Millis(LEASE_MS + 300),
+            task_lease: Millis(self.lease_ms + 300),
             ..WorkflowSettings::default()
         };
         self.scheduler = WorkflowScheduler::new(settings, now);
@@ -266,7 +305,8 @@
             self.scheduler.replay(record, now);
         }
         self.scheduler.finish_restore(now, &mut actions);
-        let entries: Vec<HostEntry> = self.executors.values().map(|at| at.entry.clone()).collect();
+        let listed = self.executors.values().filter(|at| at.listed);
+        let entries: Vec<HostEntry> = listed.map(|at| at.entry.clone()).collect();
         for entry in entries {
             let id = entry.id.clone();
             self.scheduler.list_host(entry, now);
@@ -455,6 +495,9 @@
             Message::Reported(id, report) if current => {
                 self.scheduler.apply_report(&id, &report, now, &mut actions);
             }
+            Message::Crash(id, task) => self.crash_by_task(&id, task),
+            Message::Return(id) => self.start_successor(&id),
+            Message::Unlist(id) => self.unlist(&id),
             _ => {}
         }
         self.carry_out(actions);
@@ -488,11 +531,11 @@
             return;
         }
         executor.fence = epoch;
-        executor.lease = executor.lease.max(self.now + LEASE_MS);
+        executor.lease = executor.lease.max(self.now + self.lease_ms);
         let report = HostReport {
             boot_ms: executor.boot_ms,
             sent: now,
-            lease: Millis(self.now + LEASE_MS + 20),
+            lease: Millis(self.now + self.lease_ms + 20),
             running: executor
                 .running
                 .keys()
@@ -518,6 +561,14 @@
             .executors
             .get_mut(&order.host)
             .expect("the host is known");
+        if executor.dead {
+            self.refused_starts += 1;
+            if answer > 0 {
+                let refused = StartResult::Refused(Refusal::NotSent);
+                self.reply(epoch, 1, Message::Result(order.host, key, refused));
+            }
+            return;
+        }
         if !executor.reachable {
             return;
         }
@@ -555,6 +606,10 @@
                 },
             );
             self.starts += 1;
+            if self.deadly.contains(&order.task) {
+                let crash = Message::Crash(order.host.clone(), order.task);
+                self.send(outages::CRASH_DELAY_MS, crash);
+            }
         }
         if answer > 0 {
             let result = refusal.map_or(StartResult::Started, StartResult::Refused);
--- /dev/null
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -0,0 +1,81 @@
+//! Hosts that die with everything on them and return under another identifier.
+
+use wigeongate_core::ids::{HostId, ZoneId};
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{HostEntry, TaskName};
+
+use super::{Crash, Executor, Message, World};
+
+/// The time from the start of a deadly task to the crash, in milliseconds.
+pub const CRASH_DELAY_MS: u64 = 10;
+
+/// How long a crashed host is away, in milliseconds.
+pub const AWAY_MS: u64 = 3_200;
+
+/// The time from a crash until the registration of the host expires, in milliseconds.
+const UNLIST_MS: u64 = 4_500;
+
+impl World {
+    /// Lets a task crash each host that starts it.
+    pub fn make_deadly(&mut self, task: TaskName) {
+        self.deadly.insert(task);
+    }
+
+    /// Returns how many hosts a task has crashed.
+    pub fn crashes_by(&self, task: TaskName) -> usize {
+        self.crashes.iter().filter(|at| at.cause == task).count()
+    }
+
+    /// Returns the hosts of a zone whose processes run.
+    pub fn hosts_in_zone(&self, zone: &str) -> Vec<HostId> {
+        let zone = ZoneId::from(zone);
+        self.executors
+            .values()
+            .filter(|at| at.entry.zone == zone && !at.dead)
+            .map(|at| at.entry.id.clone())
+            .collect()
+    }
+
+    /// Ends the process of a host; a successor with another identifier starts later.
+    pub fn kill_host(&mut self, id: &HostId) {
+        self.crash(id);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.dead = true;
+            executor.reachable = false;
+        }
+        self.send(AWAY_MS, Message::Return(id.clone()));
+        self.send(UNLIST_MS, Message::Unlist(id.clone()));
+    }
+
+    pub(super) fn crash_by_task(&mut self, id: &HostId, cause: TaskName) {
+        let Some(executor) = self.executors.get(id).filter(|at| !at.dead) else {
+            return;
+        };
+        let running = executor.running.keys().map(|(task, _)| *task);
+        self.crashes.push(Crash {
+            cause,
+            neighbours: running.filter(|task| *task != cause).collect(),
+        });
+        self.kill_host(id);
+    }
+
+    pub(super) fn start_successor(&mut self, id: &HostId) {
+        let old = &self.executors[id].entry;
+        let entry = HostEntry {
+            id: HostId::from(format!("{id}+")),
+            ..old.clone()
+        };
+        let id = entry.id.clone();
+        self.executors
+            .insert(id.clone(), Executor::new(entry.clone(), 1));
+        self.scheduler.list_host(entry, Millis(self.now));
+        self.send(1, Message::Poll(id));
+    }
+
+    pub(super) fn unlist(&mut self, id: &HostId) {
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.listed = false;
+        }
+        self.scheduler.unlist_host(id);
+    }
+}
