Risk no host for worthless work while other work waits for room

Callers saw: with many bad jobs in a queue, gangs of other queues waited while half of the fleet was away for tests of jobs that had no value left. Cause: a service counted as idle by its use alone, which is low when its hosts are away, and dead hosts counted twice against the part in quarantine. Change: work of other queues that has waited for a second makes a service busy; suspects without value then start only while an eighth of the hosts or less is away; a quarter instead of a third of the hosts is for suspected queues, lost ones included once.

--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -26,6 +26,9 @@
 /// The most steps that one pass tries; when more are ready, the fleet is full for seconds.
 const MAX_STEPS: usize = 256;
 
+/// How long work waits until it counts as delayed, in milliseconds: advice takes less.
+const DELAYED_MS: u64 = 1_000;
+
 /// The most hosts that one pass puts into quarantine.
 const MAX_DRAFTS: usize = 8;
 
@@ -51,6 +54,8 @@
     /// The number of hosts in quarantine that are not on probation, less those that earlier steps
     /// of the pass use or ask for.
     quarantined: usize,
+    /// Whether work that is not suspected has waited for a while.
+    is_delayed: bool,
     /// Capacity of all hosts.
     total: Resources,
     /// Capacity that runs use.
@@ -77,12 +82,13 @@
             .filter_map(|step| self.sort_key(*step, now))
             .collect();
         steps.sort_unstable();
+        self.find_delayed(&steps, now);
         let mut tried = 0;
         for (rank, _, _, step) in steps {
             if tried >= MAX_STEPS {
                 break;
             }
-            if self.lacks_quarantined(step, now) {
+            if self.lacks_quarantined(step, rank, now) {
                 continue;
             }
             tried += 1;
@@ -92,7 +98,7 @@
 
     /// Returns whether a step needs a host in quarantine and none is left in this pass. Such steps
     /// may be many, and must not use up a pass.
-    fn lacks_quarantined(&mut self, at: StepId, now: Millis) -> bool {
+    fn lacks_quarantined(&mut self, at: StepId, rank: Rank, now: Millis) -> bool {
         let caution = self.caution(at);
         if caution < Caution::Quarantined {
             return false;
@@ -104,6 +110,9 @@
         let Some(rules) = rules.cloned() else {
             return true;
         };
+        if rank >= Rank::Suspected && !self.may_lose_hosts(&rules.service) {
+            return true;
+        }
         if self.take_quarantined(&rules.service) {
             return false;
         }
@@ -136,10 +145,31 @@
         capacities
     }
 
-    /// Returns whether less than half of the processor capacity of a service is used.
+    /// Notes the services on which work that is not suspected has waited for a while.
+    fn find_delayed(&mut self, steps: &[SortKey], now: Millis) {
+        for (_, _, _, at) in steps {
+            let Some(job) = self.jobs.get(&at.job) else {
+                continue;
+            };
+            let ready = job.step(*at).and_then(|step| step.ready);
+            let waits = ready.is_some_and(|ready| now.since(ready).0 >= DELAYED_MS);
+            if waits
+                && self.caution(*at) < Caution::Quarantined
+                && let Some(rules) = self.queues.get(&job.flow.queue)
+                && let Some(capacity) = self.pass.capacities.get_mut(&rules.service)
+            {
+                capacity.is_delayed = true;
+            }
+        }
+    }
+
+    /// Returns whether less than half of the processor capacity of a service is used, and no work
+    /// that is not suspected waits for it.
     pub(super) fn is_idle(&self, service: &str) -> bool {
         let capacity = self.pass.capacities.get(service);
-        capacity.is_some_and(|capacity| capacity.used.cpu * 2 < capacity.total.cpu)
+        capacity.is_some_and(|capacity| {
+            capacity.used.cpu * 2 < capacity.total.cpu && !capacity.is_delayed
+        })
     }
 
     /// Takes one of the hosts in quarantine for a step; returns whether one was left. Only as many
--- a/wigeongate-core/src/workflow/quarantine.rs
+++ b/wigeongate-core/src/workflow/quarantine.rs
@@ -23,7 +23,7 @@
 const RETURN_MS: u64 = 5_000;
 
 /// One host of a service in this many may be in quarantine for the jobs of suspected queues.
-const QUEUE_DIVISOR: usize = 3;
+const QUEUE_DIVISOR: usize = 4;
 
 /// One host of a service in this many may be in quarantine for jobs that have crashed a host, most
 /// of which crash the next one too.
@@ -221,6 +221,16 @@
         }
     }
 
+    /// Returns whether work that has no value left may cost a service a host: hosts that are away
+    /// are few, or nothing else waits for them.
+    pub(super) fn may_lose_hosts(&self, service: &str) -> bool {
+        let in_service = |host: &&Host| host.listed && host.entry.service == service;
+        let total = self.hosts.values().filter(in_service).count();
+        let lost = self.quarantine.lost.iter();
+        let lost = lost.filter(|lost| lost.service == service).count();
+        lost * RETRIAL_DIVISOR < total || self.is_idle(service)
+    }
+
     /// Keeps up to one host of a service in `divisor` in quarantine; the others leave it in a while.
     /// Returns how many hosts may still be added, and how many are not on probation.
     fn keep_quarantined(&mut self, service: &str, divisor: usize, now: Millis) -> (usize, usize) {
@@ -233,7 +243,7 @@
             .hosts
             .values()
             .filter(in_service)
-            .filter(|host| host.quarantined > now)
+            .filter(|host| host.quarantined > now && host.failing.is_none())
             .map(|host| host.entry.id.clone())
             .collect();
         kept.sort_unstable();
