Let an idle service try its suspects on two thirds of its hosts

Cause: half of the hosts, those that are away included, was the bound also while nothing else waited, which is three retrials a second on 35 hosts. Change: bounds are shares in percent; two thirds while the service is idle.

--- a/wigeongate-core/src/workflow/quarantine.rs
+++ b/wigeongate-core/src/workflow/quarantine.rs
@@ -22,16 +22,14 @@
 /// How long a crashed host counts among those in quarantine, in milliseconds.
 const RETURN_MS: u64 = 5_000;
 
-/// One host of a service in this many may be in quarantine for the jobs of suspected queues.
-const QUEUE_DIVISOR: usize = 4;
+/// The share of a service's hosts that may be in quarantine or lost from it, in percent.
+const QUEUE_PERCENT: usize = 25;
 
-/// One host of a service in this many may be in quarantine for jobs that have crashed a host, most
-/// of which crash the next one too.
-const RETRIAL_DIVISOR: usize = 8;
+/// The same for jobs that have crashed a host, most of which crash the next one too.
+const RETRIAL_PERCENT: usize = 12;
 
-/// One host of a service in this many may be in quarantine while less than half of its capacity is
-/// used.
-const IDLE_DIVISOR: usize = 2;
+/// The same while the service is idle.
+const IDLE_PERCENT: usize = 66;
 
 /// The number of jobs that have crashed a host, each as the only suspect, within [`AWAY_MS`] for
 /// which their queue is suspected. With fewer, the quarantine costs more than their neighbours do.
@@ -217,7 +215,7 @@
             }
         }
         for service in self.suspected_services() {
-            self.keep_quarantined(&service, QUEUE_DIVISOR, now);
+            self.keep_quarantined(&service, QUEUE_PERCENT, now);
         }
     }
 
@@ -228,17 +226,17 @@
         let total = self.hosts.values().filter(in_service).count();
         let lost = self.quarantine.lost.iter();
         let lost = lost.filter(|lost| lost.service == service).count();
-        lost * RETRIAL_DIVISOR < total || self.is_idle(service)
+        lost * 100 < total * RETRIAL_PERCENT || self.is_idle(service)
     }
 
-    /// Keeps up to one host of a service in `divisor` in quarantine; the others leave it in a while.
+    /// Keeps up to this share of a service's hosts in quarantine; the others leave it in a while.
     /// Returns how many hosts may still be added, and how many are not on probation.
-    fn keep_quarantined(&mut self, service: &str, divisor: usize, now: Millis) -> (usize, usize) {
+    fn keep_quarantined(&mut self, service: &str, percent: usize, now: Millis) -> (usize, usize) {
         let in_service = |host: &&Host| host.listed && host.entry.service == service;
         let total = self.hosts.values().filter(in_service).count();
         let lost = self.quarantine.lost.iter();
         let lost = lost.filter(|lost| lost.service == service).count();
-        let most = (total / divisor).max(1).saturating_sub(lost);
+        let most = (total * percent / 100).max(1).saturating_sub(lost);
         let mut kept: Vec<HostId> = self
             .hosts
             .values()
@@ -330,14 +328,14 @@
     /// Puts one more host into quarantine for a step that found none, unless enough are there or
     /// will be vacant soon, which are kept.
     pub(super) fn draft(&mut self, at: StepId, service: &str, caution: Caution, now: Millis) {
-        let divisor = if self.is_idle(service) {
-            IDLE_DIVISOR
+        let percent = if self.is_idle(service) {
+            IDLE_PERCENT
         } else if caution == Caution::Alone {
-            RETRIAL_DIVISOR
+            RETRIAL_PERCENT
         } else {
-            QUEUE_DIVISOR
+            QUEUE_PERCENT
         };
-        let (left, unused) = self.keep_quarantined(service, divisor, now);
+        let (left, unused) = self.keep_quarantined(service, percent, now);
         if left == 0 || unused > self.pass.unplaced {
             return;
         }
