Order no planned start on a host that has shrunk meanwhile

Callers would see: LIMIT broken on hosts that don't guard their capacity, when it shrinks while a start waits for its record (up to a second). Cause: the capacity was compared when a start was decided only; the check before the order looked at the host's lease, zone and draining, not at its room. Evidence: a_planned_start_is_not_ordered_on_a_host_that_has_shrunk: 4 orders on a host with room for 2. Change: a planned start is dropped and decided anew if what the host runs and is to run no longer fits. Tests: that one failed before; the table beside it (load above the capacity, drained to and below it, a gang, grown again, a task that takes no processor) passed before and holds the rest of the rule.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -227,6 +227,14 @@
         self.claims.values().filter(|claim| claim.lasting).count()
     }
 
+    /// Returns whether a run that holds a claim still has room. The host may have shrunk under all
+    /// of its runs since the claim was made.
+    pub fn has_room_for(&self, run: RunKey) -> bool {
+        let excess = self.used.saturating_sub(&self.entry.capacity);
+        let claim = self.claims.get(&run);
+        claim.is_some_and(|claim| claim.size.min(&excess).is_zero())
+    }
+
     /// Adds the claim of a run.
     pub fn claim(&mut self, run: RunKey, claim: Claim) {
         self.used += claim.size;
--- a/wigeongate-core/src/workflow/planned_starts.rs
+++ b/wigeongate-core/src/workflow/planned_starts.rs
@@ -2,7 +2,7 @@
 //!
 //! A new owner reads every record and therefore knows every start that was ever ordered.
 
-use super::host::Stage;
+use super::host::{Host, Stage};
 use super::message::{Action, Proof, StartOrder};
 use super::scheduler::WorkflowScheduler;
 use super::spec::StepId;
@@ -65,8 +65,10 @@
     /// Returns whether a planned start may still be ordered.
     fn is_current(&self, plan: &PlannedStart, now: Millis) -> bool {
         let in_time = now.since(plan.decided).0 <= DECISION_TIMEOUT_MS;
-        let host = self.hosts.get(&plan.order.host);
-        in_time && host.is_some_and(|host| self.accepts_starts(host, now))
+        let key = (plan.order.task, plan.order.run);
+        let is_open = |host: &&Host| self.accepts_starts(host, now);
+        let host = self.hosts.get(&plan.order.host).filter(is_open);
+        in_time && host.is_some_and(|host| host.has_room_for(key))
     }
 
     /// Puts the newest ticket into an order that needs one; returns whether it is still valid.
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -1,6 +1,7 @@
 //! Runs jobs of several steps on fake executors: single cases, and random workloads with faults.
 
 mod advice;
+mod capacity;
 mod crashes;
 mod leases;
 mod limits;
