Count only work that can meet its objective as delayed by suspects

Cause: one step that waits for another reason, such as a gang above its team's limit, made its service busy for good. Change: a step counts as delayed only while it can meet its objective.

--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -149,9 +149,11 @@
         capacities
     }
 
-    /// Notes the services on which work that is not suspected has waited for a while.
+    /// Notes the services on which work that is not suspected has waited for a while and can still
+    /// meet its objective.
     fn find_delayed(&mut self, steps: &[SortKey], now: Millis) {
-        for (_, _, _, at) in steps {
+        let in_time = steps.iter().filter(|(rank, ..)| *rank == Rank::InTime);
+        for (_, _, _, at) in in_time {
             let Some(job) = self.jobs.get(&at.job) else {
                 continue;
             };
