Keep the hosts with the least to lose in quarantine

Cause: hosts stayed in quarantine in the order of their names, also those with long work, which were never vacant and left no room for others. Evidence: 9 hosts in quarantine for 8 s, 4 of them with 2 to 4 runs all along, 53 suspects waiting (trial with a line a second). Change: the hosts with the fewest runs that end by themselves are kept, and drafted first.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -227,9 +227,11 @@
         self.claims.values().all(|claim| claim.lasting)
     }
 
-    /// Returns the number of runs that last until their job is cancelled.
-    pub fn lasting_claims(&self) -> usize {
-        self.claims.values().filter(|claim| claim.lasting).count()
+    /// Returns how many runs would be lost with the host: those that end by themselves, and those
+    /// that last, which lose less.
+    pub fn at_risk(&self) -> (usize, usize) {
+        let lasting = self.claims.values().filter(|claim| claim.lasting).count();
+        (self.claims.len() - lasting, lasting)
     }
 
     /// Returns whether a run that holds a claim still has room. The host may have shrunk under all
--- a/wigeongate-core/src/workflow/quarantine.rs
+++ b/wigeongate-core/src/workflow/quarantine.rs
@@ -229,7 +229,8 @@
         lost * 100 < total * RETRIAL_PERCENT || self.is_idle(service)
     }
 
-    /// Keeps up to this share of a service's hosts in quarantine; the others leave it in a while.
+    /// Keeps up to this share of a service's hosts in quarantine, first those with the least work to
+    /// lose; the others leave it in a while.
     /// Returns how many hosts may still be added, and how many are not on probation.
     fn keep_quarantined(&mut self, service: &str, percent: usize, now: Millis) -> (usize, usize) {
         let in_service = |host: &&Host| host.listed && host.entry.service == service;
@@ -237,17 +238,17 @@
         let lost = self.quarantine.lost.iter();
         let lost = lost.filter(|lost| lost.service == service).count();
         let most = (total * percent / 100).max(1).saturating_sub(lost);
-        let mut kept: Vec<HostId> = self
+        let mut kept: Vec<((usize, usize), HostId)> = self
             .hosts
             .values()
             .filter(in_service)
             .filter(|host| host.quarantined > now && host.failing.is_none())
-            .map(|host| host.entry.id.clone())
+            .map(|host| (host.at_risk(), host.entry.id.clone()))
             .collect();
         kept.sort_unstable();
         kept.truncate(most);
         let mut unused = 0;
-        for id in &kept {
+        for (_, id) in &kept {
             if let Some(host) = self.hosts.get_mut(id) {
                 host.quarantined = now + Millis(QUARANTINE_MS);
                 unused += usize::from(host.probation.is_none());
@@ -362,7 +363,7 @@
         self.hosts
             .values()
             .filter(usable)
-            .min_by_key(|host| (host.lasting_claims(), host.used.cpu, host.entry.id.clone()))
+            .min_by_key(|host| (host.at_risk(), host.entry.id.clone()))
             .map(|host| host.entry.id.clone())
     }
 }
