Suspect the other runs of a crash once those that had just started are cleared

Cause: found by a case added to the crash test, a service that crashes its hosts after two seconds beside a stream of short jobs: the runs that had just started were blamed each time, cleared by their next run, and nothing was held against the others; five hosts in 36 s, without end. Change: the recent runs beside young suspects are remembered; when every accused job has been cleared, the crash is held against them.

--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -47,6 +47,18 @@
     pub crashes: usize,
 }
 
+/// A crash whose suspects had just started, and the other recent runs on the host. These are to be
+/// suspected once every job that was accused has been cleared.
+#[derive(Debug)]
+pub struct Accusation {
+    /// Address of the host, `IP:PORT`.
+    pub machine: String,
+    /// The jobs of the suspects that are not cleared.
+    pub accused: Vec<WorkflowId>,
+    /// The other runs that were not old.
+    pub others: Vec<RunKey>,
+}
+
 /// The runs that may have crashed their host.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Blame {
@@ -86,6 +98,22 @@
         }
     }
 
+    /// Returns the accusation that follows from a judgement on runs that had just started.
+    pub fn accusation(&self, lost: &[LostRun], machine: &str) -> Option<Accusation> {
+        let others = lost.iter().filter(|run| run.age.0 < OLD_MS);
+        let others = others.map(|run| run.key);
+        let others: Vec<RunKey> = others.filter(|key| !self.suspects.contains(key)).collect();
+        let mut accused: Vec<WorkflowId> = Vec::new();
+        accused.extend(self.suspects.iter().map(|(task, _)| task.step.job));
+        accused.sort_unstable();
+        accused.dedup();
+        (self.young && !others.is_empty()).then(|| Accusation {
+            machine: machine.to_owned(),
+            accused,
+            others,
+        })
+    }
+
     /// Returns the only suspected job.
     pub fn sole_job(&self) -> Option<WorkflowId> {
         let first = self.suspects.first().filter(|_| self.sole)?;
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -1,6 +1,8 @@
 //! Handles hosts that are lost: judges whether a run crashed them, and gives up the tasks that did.
 
-use super::crash::{Blame, Crash, LostRun, OLD_MS, YOUNG_MS, is_convicted};
+use std::collections::VecDeque;
+
+use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, YOUNG_MS, is_convicted};
 use super::host::{Claim, Host, RunKey, Stage};
 use super::job::{Job, Phase, WorkflowStatus};
 use super::message::{Action, PollFailure, Proof};
@@ -24,6 +26,9 @@
 /// The fewest hosts that count as a loss of a part of the fleet.
 const MIN_FLEET_GROUP: usize = 5;
 
+/// The most crashes whose suspects are not cleared that are remembered.
+const MAX_ACCUSATIONS: usize = 64;
+
 /// A failure of the polls of a host.
 #[derive(Debug, Clone, Copy)]
 pub struct Failing {
@@ -84,11 +89,15 @@
         let Some(host) = self.hosts.get(id) else {
             return;
         };
-        let blame = self.recorded_blame(host).unwrap_or_else(|| {
-            let died = host.failing.map_or(now, |failing| failing.since);
-            self.blame(host, died)
-        });
+        let died = host.failing.map_or(now, |failing| failing.since);
+        let lost = self.lost_runs(host, died);
+        let blame = self
+            .recorded_blame(host)
+            .unwrap_or_else(|| self.blame(host, died, &lost));
         let machine = host.entry.address.clone();
+        self.accusations.extend(blame.accusation(&lost, &machine));
+        let excess = self.accusations.len().saturating_sub(MAX_ACCUSATIONS);
+        self.accusations.drain(..excess);
         self.suspect_queue(id, &blame, now);
         for (task, run) in &blame.suspects {
             let crash = Crash {
@@ -96,25 +105,51 @@
                 sole: blame.sole,
                 young: blame.young,
             };
-            if self.add_crash(*task, crash, &machine) {
-                let record = CrashRecord {
-                    task: *task,
-                    crash,
-                    machine: machine.clone(),
-                };
-                self.record(Record::Crashed(record), out);
-            }
+            self.suspect(*task, crash, &machine, out);
         }
         if let Some(host) = self.hosts.get_mut(id) {
             host.blame = Some(blame);
         }
     }
 
-    fn blame(&self, host: &Host, died: Millis) -> Blame {
+    /// Records the crash of a host under a task, unless that was done before.
+    fn suspect(&mut self, task: TaskName, crash: Crash, machine: &str, out: &mut Vec<Action>) {
+        if self.add_crash(task, crash, machine) {
+            let record = CrashRecord {
+                task,
+                crash,
+                machine: machine.to_owned(),
+            };
+            self.record(Record::Crashed(record), out);
+        }
+    }
+
+    /// Suspects the other runs of each crash whose suspects have all been cleared.
+    fn withdraw_accusations(&mut self, cleared: WorkflowId, out: &mut Vec<Action>) {
+        for accusation in &mut self.accusations {
+            accusation.accused.retain(|job| *job != cleared);
+        }
+        let (withdrawn, rest): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.accusations)
+            .into_iter()
+            .partition(|accusation| accusation.accused.is_empty());
+        self.accusations = rest;
+        for accusation in withdrawn {
+            for (task, run) in accusation.others {
+                let crash = Crash {
+                    run,
+                    sole: false,
+                    young: false,
+                };
+                self.suspect(task, crash, &accusation.machine, out);
+            }
+        }
+    }
+
+    fn blame(&self, host: &Host, died: Millis, lost: &[LostRun]) -> Blame {
         if host.entry.draining {
             return Blame::default();
         }
-        let mut blame = Blame::of(&self.lost_runs(host, died));
+        let mut blame = Blame::of(lost);
         blame.is_own_loss = !self.is_group_loss(host, died, &blame);
         blame.sole &= blame.is_own_loss;
         blame
@@ -228,6 +263,8 @@
             self.release(id, (task, run), proof, now, out);
         }
         for job in convicted {
+            let explains = |accusation: &Accusation| accusation.accused.contains(&job);
+            self.accusations.retain(|accusation| !explains(accusation));
             self.end_job(job, WorkflowStatus::Failed, now, out);
         }
     }
@@ -299,9 +336,10 @@
     }
 
     /// Clears the suspects that have run for longer than it takes to crash a host, or have ended.
-    pub(super) fn clear_suspects(&mut self, now: Millis) {
+    pub(super) fn clear_suspects(&mut self, now: Millis, out: &mut Vec<Action>) {
         for id in std::mem::take(&mut self.suspects) {
             let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
+                self.withdraw_accusations(id, out);
                 continue;
             };
             let outlived = self.outlived(job, now);
@@ -317,6 +355,8 @@
             }
             if job.tasks().any(|(_, task)| task.is_suspect()) {
                 self.suspects.insert(id);
+            } else {
+                self.withdraw_accusations(id, out);
             }
         }
     }
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::allowance::Allowances;
+use super::crash::Accusation;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::job::{Job, Phase, Step, WorkflowStatus};
 use super::message::{Action, Proof, StopOrder};
@@ -87,6 +88,8 @@
     pub(super) batch: u32,
     /// Open jobs with tasks that may have crashed a host.
     pub(super) suspects: BTreeSet<WorkflowId>,
+    /// Crashes whose suspects have not been cleared or given up, the oldest first.
+    pub(super) accusations: VecDeque<Accusation>,
     /// Queues whose jobs crash their hosts.
     pub(super) quarantine: Quarantine,
     /// Runs reported for jobs that are not known yet, with their hosts.
@@ -280,7 +283,7 @@
         self.ready_due_steps(now);
         self.judge_losses(now, out);
         self.expire_hosts(now, out);
-        self.clear_suspects(now);
+        self.clear_suspects(now, out);
         self.update_quarantine(now, out);
         self.retry_stops(now, out);
         self.forget_hosts();
