--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -88,7 +88,7 @@
 
 /// A host that waits to see whether the tasks of a suspected job crash it.
 #[derive(Debug, Clone, Copy)]
-pub struct Probation {
+pub struct Trial {
     /// The job; no other gets the host meanwhile.
     pub job: WorkflowId,
     /// When the tasks have passed if the host still runs.
@@ -138,11 +138,11 @@
     /// The runs that may have ended the host's process, once that is judged.
     pub blame: Option<Blame>,
     /// The suspected job that was started last, until its tasks have passed.
-    pub probation: Option<Probation>,
+    pub trial: Option<Trial>,
     /// Number of the log batch in which an earlier owner recorded its last start on the host.
     pub newest_batch: u32,
     /// Until when the host is reserved for suspected jobs.
-    pub quarantined: Millis,
+    pub isolated: Millis,
     /// When an extra poll was last requested.
     pub polled: Millis,
     /// Capacity that is reserved for a step.
@@ -171,9 +171,9 @@
             reported: Millis::ZERO,
             failing: None,
             blame: None,
-            probation: None,
+            trial: None,
             newest_batch: 0,
-            quarantined: Millis::ZERO,
+            isolated: Millis::ZERO,
             polled: now,
             reservation: None,
             paused_until: Millis::ZERO,
--- a/wigeongate-core/src/workflow/host_choice.rs
+++ b/wigeongate-core/src/workflow/host_choice.rs
@@ -2,8 +2,8 @@
 
 use super::advice::TICKET_MARGIN_MS;
 use super::host::Host;
+use super::isolation::Caution;
 use super::job::{Step, StepAdvice};
-use super::quarantine::Caution;
 use super::rules::QueueRules;
 use super::scheduler::WorkflowScheduler;
 use super::spec::StepId;
@@ -131,7 +131,7 @@
 
     /// Returns the best host for one task: first by not being the host of its last failure, then by
     /// being on the preferred rack, then by the least free processor capacity. A suspect goes first
-    /// to where its job is on probation, then to where the least would be lost with it.
+    /// to where its job is on trial, then to where the least would be lost with it.
     pub(super) fn best_host(
         &self,
         need: &Need<'_>,
@@ -146,7 +146,7 @@
             let left = host.free(need.step, need.priority, need.now);
             let at_risk = if need.caution == Caution::None {
                 0
-            } else if host.probation.is_some_and(|it| it.job == need.step.job) {
+            } else if host.trial.is_some_and(|it| it.job == need.step.job) {
                 1
             } else {
                 2 + host.used.cpu
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -4,9 +4,9 @@
 
 use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, YOUNG_MS, is_convicted};
 use super::host::{Claim, Host, RunKey, Stage};
+use super::isolation::Caution;
 use super::job::{Job, Phase, WorkflowStatus};
 use super::message::{Action, PollFailure, Proof};
-use super::quarantine::Caution;
 use super::restore::{CrashRecord, Record};
 use super::scheduler::WorkflowScheduler;
 use super::spec::{StepId, TaskName, WorkflowId};
@@ -187,10 +187,10 @@
 
     /// Returns the runs that a host had when its process ended.
     fn lost_runs(&self, host: &Host, died: Millis) -> Vec<LostRun> {
-        let probation = host.probation.filter(|probation| probation.until > died);
+        let trial = host.trial.filter(|trial| trial.until > died);
         let age = |job: WorkflowId, claim: &Claim| {
-            if probation.is_some_and(|probation| probation.job != job) {
-                // All other runs were there before, and nothing starts beside a probation.
+            if trial.is_some_and(|trial| trial.job != job) {
+                // All other runs were there before, and nothing starts beside a trial.
                 Millis(OLD_MS)
             } else if host.has_reported() {
                 died.since(claim.since)
@@ -214,7 +214,7 @@
 
     /// Returns whether a host was lost together with most of its rack or availability zone, or with
     /// a part of the fleet, so that its runs are not the only suspects. Hosts that had just started
-    /// tasks of the same job, and those on probation, have an explanation of their own.
+    /// tasks of the same job, and those on trial, have an explanation of their own.
     fn is_group_loss(&self, host: &Host, died: Millis, blame: &Blame) -> bool {
         let job = blame.sole_job();
         // Of hosts that were down when this owner took over, the time of the loss is not known.
@@ -223,7 +223,7 @@
             other.failing.is_some_and(|failing| {
                 other.has_reported() == was_up
                     && (!was_up || failing.since.0.abs_diff(died.0) <= SETTLE_MS)
-                    && other.probation.is_none()
+                    && other.trial.is_none()
                     && !other
                         .claims
                         .keys()
@@ -365,13 +365,13 @@
     fn outlived(&self, job: &Job, now: Millis) -> Vec<TaskName> {
         let mut outlived = Vec::new();
         for (name, task) in job.tasks().filter(|(_, task)| task.is_suspect()) {
-            let probation = Millis(task.probation_ms());
+            let trial = Millis(task.trial_ms());
             let lasted = |(host, run): &(HostId, u32)| {
                 self.hosts.get(host).is_some_and(|host| {
                     let claim = host.claims.get(&(name, *run));
                     host.failing.is_none()
                         && claim.is_some_and(|claim| {
-                            claim.stage == Stage::Running && now.since(claim.since) >= probation
+                            claim.stage == Stage::Running && now.since(claim.since) >= trial
                         })
                 })
             };
@@ -406,7 +406,7 @@
             Caution::None
         };
         let caution = if self.is_suspected_with_queue(&job.flow) {
-            own.max(Caution::Quarantined)
+            own.max(Caution::Isolated)
         } else {
             own
         };
@@ -418,14 +418,14 @@
         }
     }
 
-    /// Returns how long the suspects among the tasks of a step are on probation.
-    pub(super) fn probation(&self, at: StepId) -> Millis {
+    /// Returns how long the suspects among the tasks of a step are on trial.
+    pub(super) fn trial(&self, at: StepId) -> Millis {
         let job = self.jobs.get(&at.job);
         let longest = job.and_then(|job| {
             let suspects = job.tasks().filter(|(_, task)| task.is_suspect());
-            suspects.map(|(_, task)| task.probation_ms()).max()
+            suspects.map(|(_, task)| task.trial_ms()).max()
         });
-        let of_queue = job.and_then(|job| self.queue_probation_ms(&job.flow));
+        let of_queue = job.and_then(|job| self.queue_trial_ms(&job.flow));
         Millis(longest.or(of_queue).unwrap_or(YOUNG_MS))
     }
 }
--- a/wigeongate-core/src/workflow/quarantine.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -7,7 +7,7 @@
 //! time, until enough of them have passed.
 
 use super::crash::{Blame, YOUNG_MS};
-use super::host::{Host, Probation};
+use super::host::{Host, Trial};
 use super::host_choice::Need;
 use super::message::Action;
 use super::scheduler::WorkflowScheduler;
@@ -16,13 +16,13 @@
 use crate::ids::{HostId, QueueId};
 use crate::time::Millis;
 
-/// How long a host stays in quarantine after the last suspect that needed one, in milliseconds.
-const QUARANTINE_MS: u64 = 2_000;
+/// How long a host stays in isolation after the last suspect that needed one, in milliseconds.
+const ISOLATION_MS: u64 = 2_000;
 
-/// How long a crashed host counts among those in quarantine, in milliseconds.
+/// How long a crashed host counts among those in isolation, in milliseconds.
 const RETURN_MS: u64 = 5_000;
 
-/// The share of a service's hosts that may be in quarantine or lost from it, in percent.
+/// The share of a service's hosts that may be in isolation or lost from it, in percent.
 const QUEUE_PERCENT: usize = 25;
 
 /// The same for jobs that have crashed a host, most of which crash the next one too.
@@ -32,7 +32,7 @@
 const IDLE_PERCENT: usize = 66;
 
 /// The number of jobs that have crashed a host, each as the only suspect, within [`AWAY_MS`] for
-/// which their queue is suspected. With fewer, the quarantine costs more than their neighbours do.
+/// which their queue is suspected. With fewer, the isolation costs more than their neighbours do.
 const QUEUE_CRASHES: usize = 3;
 
 /// How long a crashed host is away, in milliseconds.
@@ -41,12 +41,12 @@
 /// How long a crash counts against its queue, in milliseconds.
 const QUEUE_MEMORY_MS: u64 = 10_000;
 
-/// The shortest probation of a job of a suspected queue, in milliseconds.
-const MIN_PROBATION_MS: u64 = 100;
+/// The shortest trial of a job of a suspected queue, in milliseconds.
+const MIN_TRIAL_MS: u64 = 100;
 
-/// The probation of a job of a suspected queue, as a multiple of the time from the start of such a
+/// The trial of a job of a suspected queue, as a multiple of the time from the start of such a
 /// job to the crash of its host.
-const PROBATION_FACTOR: u64 = 4;
+const TRIAL_FACTOR: u64 = 4;
 
 /// The number of starts without a crash after which a queue is no longer suspected.
 const QUEUE_PASSES: u32 = 30;
@@ -59,9 +59,9 @@
     None,
     /// Not beside another suspect that has just started.
     Apart,
-    /// On a host in quarantine, not beside a suspect that has just started.
-    Quarantined,
-    /// On a host in quarantine that is vacant.
+    /// On a host in isolation, not beside a suspect that has just started.
+    Isolated,
+    /// On a host in isolation that is vacant.
     Alone,
 }
 
@@ -80,7 +80,7 @@
     crashes: Vec<(WorkflowId, Millis)>,
     /// When the last of its jobs crashed a host.
     last: Millis,
-    /// Starts on probation without a crash since then.
+    /// Starts on trial without a crash since then.
     passes: u32,
     /// Whether all its jobs are suspected.
     suspected: bool,
@@ -122,12 +122,12 @@
 
 /// The queues under suspicion and the hosts that they have crashed.
 #[derive(Debug, Default)]
-pub(super) struct Quarantine {
+pub(super) struct Isolation {
     queues: HashMap<QueueId, QueueRecord>,
     lost: Vec<Lost>,
 }
 
-impl Quarantine {
+impl Isolation {
     fn add_pass(&mut self, queue: &QueueId) {
         if let Some(record) = self.queues.get_mut(queue) {
             record.passes += 1;
@@ -157,7 +157,7 @@
 impl WorkflowScheduler {
     /// Returns whether a job is suspected to crash its hosts because others of its queue do.
     pub(super) fn is_suspected_with_queue(&self, job: &Workflow) -> bool {
-        let record = self.quarantine.queues.get(&job.queue);
+        let record = self.isolation.queues.get(&job.queue);
         record.is_some_and(|record| record.suspected || job.accepted <= record.suspect_until)
     }
 
@@ -166,7 +166,7 @@
         let Some(host) = self.hosts.get(id).filter(|_| !blame.suspects.is_empty()) else {
             return;
         };
-        self.quarantine.lost.push(Lost {
+        self.isolation.lost.push(Lost {
             machine: host.entry.address.clone(),
             service: host.entry.service.clone(),
             at: now,
@@ -185,37 +185,37 @@
     pub(super) fn count_against_queue(&mut self, job: WorkflowId, delay: Millis, now: Millis) {
         if let Some(job) = self.jobs.get(&job) {
             let queue = job.flow.queue.clone();
-            let record = self.quarantine.queues.entry(queue).or_default();
+            let record = self.isolation.queues.entry(queue).or_default();
             record.add_crash(&job.flow, delay, now);
         }
     }
 
-    /// Returns how long the jobs of a suspected queue are on probation.
-    pub(super) fn queue_probation_ms(&self, job: &Workflow) -> Option<u64> {
-        let record = self.quarantine.queues.get(&job.queue)?;
-        let delay_ms = record.delay.0 * PROBATION_FACTOR;
+    /// Returns how long the jobs of a suspected queue are on trial.
+    pub(super) fn queue_trial_ms(&self, job: &Workflow) -> Option<u64> {
+        let record = self.isolation.queues.get(&job.queue)?;
+        let delay_ms = record.delay.0 * TRIAL_FACTOR;
         self.is_suspected_with_queue(job)
-            .then_some(delay_ms.clamp(MIN_PROBATION_MS, YOUNG_MS))
+            .then_some(delay_ms.clamp(MIN_TRIAL_MS, YOUNG_MS))
     }
 
-    /// Ends expired probations, and keeps hosts in quarantine while suspects need them.
-    pub(super) fn update_quarantine(&mut self, now: Millis, out: &mut Vec<Action>) {
-        self.quarantine.expire(now, out);
+    /// Ends expired trials, and keeps hosts in isolation while suspects need them.
+    pub(super) fn update_isolation(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.isolation.expire(now, out);
         let mut passed = Vec::new();
         for host in self.hosts.values_mut() {
             if host.failing.is_none()
-                && let Some(probation) = host.probation.take_if(|it| it.until <= now)
+                && let Some(trial) = host.trial.take_if(|it| it.until <= now)
             {
-                passed.push(probation.job);
+                passed.push(trial.job);
             }
         }
         for job in passed {
             if let Some(job) = self.jobs.get(&job) {
-                self.quarantine.add_pass(&job.flow.queue);
+                self.isolation.add_pass(&job.flow.queue);
             }
         }
         for service in self.suspected_services() {
-            self.keep_quarantined(&service, QUEUE_PERCENT, now);
+            self.keep_isolated(&service, QUEUE_PERCENT, now);
         }
     }
 
@@ -224,25 +224,25 @@
     pub(super) fn may_lose_hosts(&self, service: &str) -> bool {
         let in_service = |host: &&Host| host.listed && host.entry.service == service;
         let total = self.hosts.values().filter(in_service).count();
-        let lost = self.quarantine.lost.iter();
+        let lost = self.isolation.lost.iter();
         let lost = lost.filter(|lost| lost.service == service).count();
         lost * 100 < total * RETRIAL_PERCENT || self.is_idle(service)
     }
 
-    /// Keeps up to this share of a service's hosts in quarantine, first those with the least work to
+    /// Keeps up to this share of a service's hosts in isolation, first those with the least work to
     /// lose; the others leave it in a while.
-    /// Returns how many hosts may still be added, and how many are not on probation.
-    fn keep_quarantined(&mut self, service: &str, percent: usize, now: Millis) -> (usize, usize) {
+    /// Returns how many hosts may still be added, and how many are not on trial.
+    fn keep_isolated(&mut self, service: &str, percent: usize, now: Millis) -> (usize, usize) {
         let in_service = |host: &&Host| host.listed && host.entry.service == service;
         let total = self.hosts.values().filter(in_service).count();
-        let lost = self.quarantine.lost.iter();
+        let lost = self.isolation.lost.iter();
         let lost = lost.filter(|lost| lost.service == service).count();
         let most = (total * percent / 100).max(1).saturating_sub(lost);
         let mut kept: Vec<((usize, usize), HostId)> = self
             .hosts
             .values()
             .filter(in_service)
-            .filter(|host| host.quarantined > now && host.failing.is_none())
+            .filter(|host| host.isolated > now && host.failing.is_none())
             .map(|host| (host.at_risk(), host.entry.id.clone()))
             .collect();
         kept.sort_unstable();
@@ -250,8 +250,8 @@
         let mut unused = 0;
         for (_, id) in &kept {
             if let Some(host) = self.hosts.get_mut(id) {
-                host.quarantined = now + Millis(QUARANTINE_MS);
-                unused += usize::from(host.probation.is_none());
+                host.isolated = now + Millis(ISOLATION_MS);
+                unused += usize::from(host.trial.is_none());
             }
         }
         (most - kept.len(), unused)
@@ -260,44 +260,42 @@
     /// Returns the services of the queues under suspicion.
     fn suspected_services(&self) -> Vec<String> {
         let suspected = |(_, record): &(&QueueId, &QueueRecord)| record.suspected;
-        let queues = self.quarantine.queues.iter().filter(suspected);
+        let queues = self.isolation.queues.iter().filter(suspected);
         queues
             .filter_map(|(queue, _)| self.queues.get(queue))
             .map(|rules| rules.service.clone())
             .collect()
     }
 
-    /// Puts the successor of a crashed host into quarantine while a queue is suspected: it is vacant.
-    pub(super) fn quarantine_successor(&mut self, id: &HostId, now: Millis) {
+    /// Puts the successor of a crashed host into isolation while a queue is suspected: it is vacant.
+    pub(super) fn isolate_successor(&mut self, id: &HostId, now: Millis) {
         let Some(entry) = self.hosts.get(id).map(|host| &host.entry) else {
             return;
         };
         let (machine, service) = (entry.address.clone(), entry.service.clone());
-        let before = self.quarantine.lost.len();
-        self.quarantine.lost.retain(|lost| lost.machine != machine);
-        if self.quarantine.lost.len() < before
+        let before = self.isolation.lost.len();
+        self.isolation.lost.retain(|lost| lost.machine != machine);
+        if self.isolation.lost.len() < before
             && self.suspected_services().contains(&service)
             && let Some(host) = self.hosts.get_mut(id)
         {
-            host.quarantined = now + Millis(QUARANTINE_MS);
+            host.isolated = now + Millis(ISOLATION_MS);
         }
     }
 
     /// Returns whether a host may get tasks with this need, as far as suspects are concerned.
     pub(super) fn admits(&self, host: &Host, need: &Need<'_>, now: Millis) -> bool {
         let job = need.step.job;
-        let on_probation = |probation: &Probation| probation.job != job && probation.until > now;
-        if host.probation.as_ref().is_some_and(on_probation) {
+        let on_trial = |trial: &Trial| trial.job != job && trial.until > now;
+        if host.trial.as_ref().is_some_and(on_trial) {
             return false;
         }
         match need.caution {
-            Caution::None => host.quarantined <= now,
-            Caution::Apart => host.quarantined <= now && self.is_other_machine(host, need),
-            Caution::Quarantined => host.quarantined > now && self.holds_only(host, need.queue),
+            Caution::None => host.isolated <= now,
+            Caution::Apart => host.isolated <= now && self.is_other_machine(host, need),
+            Caution::Isolated => host.isolated > now && self.holds_only(host, need.queue),
             Caution::Alone => {
-                host.quarantined > now
-                    && host.is_vacant_for(job)
-                    && self.is_other_machine(host, need)
+                host.isolated > now && host.is_vacant_for(job) && self.is_other_machine(host, need)
             }
         }
     }
@@ -326,7 +324,7 @@
                 .all(crashed)
     }
 
-    /// Puts one more host into quarantine for a step that found none, unless enough are there or
+    /// Puts one more host into isolation for a step that found none, unless enough are there or
     /// will be vacant soon, which are kept.
     pub(super) fn draft(&mut self, at: StepId, service: &str, caution: Caution, now: Millis) {
         let percent = if self.is_idle(service) {
@@ -336,13 +334,13 @@
         } else {
             QUEUE_PERCENT
         };
-        let (left, unused) = self.keep_quarantined(service, percent, now);
+        let (left, unused) = self.keep_isolated(service, percent, now);
         if left == 0 || unused > self.pass.unplaced {
             return;
         }
         let candidate = self.draft_candidate(at, service, now);
         if let Some(host) = candidate.and_then(|id| self.hosts.get_mut(&id)) {
-            host.quarantined = now + Millis(QUARANTINE_MS);
+            host.isolated = now + Millis(ISOLATION_MS);
             self.dirty = true;
         }
     }
@@ -354,7 +352,7 @@
         let usable = |host: &&Host| {
             let label = step.spec.requires.as_deref();
             host.entry.service == service
-                && host.quarantined <= now
+                && host.isolated <= now
                 && self.accepts_starts(host, now)
                 && label.is_none_or(|label| host.entry.has_label(label))
                 && !step.advice.denied.contains(&host.entry.id)
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -265,7 +265,7 @@
     }
 
     /// Returns how long a run of the task has to last to clear it, in milliseconds.
-    pub fn probation_ms(&self) -> u64 {
+    pub fn trial_ms(&self) -> u64 {
         let young = self.crashes.last().is_none_or(|last| last.young);
         if young { YOUNG_MS } else { OLD_MS }
     }
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, Probation, Stage};
+use super::host::{Claim, Stage, Trial};
+use super::isolation::Caution;
 use super::job::{Phase, Rank, Task};
 use super::message::{Action, StartOrder};
 use super::planned_starts::PlannedStart;
-use super::quarantine::Caution;
 use super::restore::Record;
 use super::rules::QueueRules;
 use super::scheduler::WorkflowScheduler;
@@ -29,7 +29,7 @@
 /// How long work waits until it counts as delayed, in milliseconds: advice takes less.
 const DELAYED_MS: u64 = 1_000;
 
-/// The most hosts that one pass puts into quarantine.
+/// The most hosts that one pass puts into isolation.
 const MAX_DRAFTS: usize = 8;
 
 /// Totals that one pass keeps.
@@ -39,7 +39,7 @@
     capacities: HashMap<String, FreeCapacity>,
     /// Capacity within each team's limit that earlier steps of the pass wait for.
     held: HashMap<TeamId, Resources>,
-    /// Steps that need a host in quarantine and found none.
+    /// Steps that need a host in isolation and found none.
     pub(super) unplaced: usize,
 }
 
@@ -48,12 +48,12 @@
 struct FreeCapacity {
     /// The largest free amount of each resource on any one host.
     largest: Resources,
-    /// Free capacity on all hosts that are not in quarantine, less what earlier steps of the pass
+    /// Free capacity on all hosts that are not in isolation, less what earlier steps of the pass
     /// need.
     unclaimed: Resources,
-    /// The number of hosts in quarantine that are not on probation, less those that earlier steps
+    /// The number of hosts in isolation that are not on trial, less those that earlier steps
     /// of the pass use or ask for.
-    quarantined: usize,
+    isolated: usize,
     /// Those among them on which nothing but lasting tasks runs.
     vacant: usize,
     /// Whether work that is not suspected has waited for a while.
@@ -90,7 +90,7 @@
             if tried >= MAX_STEPS {
                 break;
             }
-            if self.lacks_quarantined(step, rank, now) {
+            if self.lacks_isolated(step, rank, now) {
                 continue;
             }
             tried += 1;
@@ -98,11 +98,11 @@
         }
     }
 
-    /// Returns whether a step needs a host in quarantine and none is left in this pass. Such steps
+    /// Returns whether a step needs a host in isolation and none is left in this pass. Such steps
     /// may be many, and must not use up a pass.
-    fn lacks_quarantined(&mut self, at: StepId, rank: Rank, now: Millis) -> bool {
+    fn lacks_isolated(&mut self, at: StepId, rank: Rank, now: Millis) -> bool {
         let caution = self.caution(at);
-        if caution < Caution::Quarantined {
+        if caution < Caution::Isolated {
             return false;
         }
         let rules = self
@@ -115,7 +115,7 @@
         if rank >= Rank::Worthless && !self.may_lose_hosts(&rules.service) {
             return true;
         }
-        if self.take_quarantined(&rules.service, caution) {
+        if self.take_isolated(&rules.service, caution) {
             return false;
         }
         self.pass.unplaced += 1;
@@ -135,11 +135,11 @@
             }
             if let Some(capacity) = capacities.get_mut(&host.entry.service) {
                 capacity.largest = capacity.largest.max(&free);
-                if host.quarantined <= now {
+                if host.isolated <= now {
                     capacity.unclaimed += free;
                 } else {
-                    let is_free = host.probation.is_none();
-                    capacity.quarantined += usize::from(is_free);
+                    let is_free = host.trial.is_none();
+                    capacity.isolated += usize::from(is_free);
                     capacity.vacant += usize::from(is_free && host.is_vacant());
                 }
                 capacity.total += host.entry.capacity;
@@ -160,7 +160,7 @@
             let ready = job.step(*at).and_then(|step| step.ready);
             let waits = ready.is_some_and(|ready| now.since(ready).0 >= DELAYED_MS);
             if waits
-                && self.caution(*at) < Caution::Quarantined
+                && self.caution(*at) < Caution::Isolated
                 && let Some(rules) = self.queues.get(&job.flow.queue)
                 && let Some(capacity) = self.pass.capacities.get_mut(&rules.service)
             {
@@ -178,17 +178,17 @@
         })
     }
 
-    /// Takes one of the hosts in quarantine for a step; returns whether one was left. Only as many
+    /// Takes one of the hosts in isolation for a step; returns whether one was left. Only as many
     /// steps as there are such hosts ask for advice, since tickets expire unused otherwise.
-    fn take_quarantined(&mut self, service: &str, caution: Caution) -> bool {
+    fn take_isolated(&mut self, service: &str, caution: Caution) -> bool {
         let Some(capacity) = self.pass.capacities.get_mut(service) else {
             return false;
         };
         let needs_vacant = caution == Caution::Alone;
-        if capacity.quarantined == 0 || (needs_vacant && capacity.vacant == 0) {
+        if capacity.isolated == 0 || (needs_vacant && capacity.vacant == 0) {
             return false;
         }
-        capacity.quarantined -= 1;
+        capacity.isolated -= 1;
         capacity.vacant = capacity.vacant.saturating_sub(usize::from(needs_vacant));
         true
     }
@@ -272,7 +272,7 @@
             match host {
                 Some(host) => {
                     self.plan_start(TaskName { step: at, index }, &host, now, out);
-                    self.put_on_probation(&host, at, caution, now);
+                    self.put_on_trial(&host, at, caution, now);
                 }
                 None => break,
             }
@@ -280,13 +280,13 @@
         let (left, size) = self
             .step(at)
             .map_or((0, Resources::ZERO), |step| (step.waiting, step.spec.size));
-        if left > 0 && caution >= Caution::Quarantined {
+        if left > 0 && caution >= Caution::Isolated {
             self.pass.unplaced += 1;
             self.draft(at, &rules.service, caution, now);
         }
         if left > 0
             && let Some(cost) = rules.advice
-            && (caution >= Caution::Quarantined
+            && (caution >= Caution::Isolated
                 || self.claim_capacity(&rules.service, size.times(u64::from(left))))
         {
             self.ask_advice(at, rules, cost, now, out);
@@ -308,13 +308,13 @@
     }
 
     /// Keeps other jobs off a host until the tasks of a suspected job have passed there.
-    fn put_on_probation(&mut self, id: &HostId, at: StepId, caution: Caution, now: Millis) {
+    fn put_on_trial(&mut self, id: &HostId, at: StepId, caution: Caution, now: Millis) {
         if caution == Caution::None {
             return;
         }
-        let until = now + self.probation(at);
+        let until = now + self.trial(at);
         if let Some(host) = self.hosts.get_mut(id) {
-            host.probation = Some(Probation { job: at.job, until });
+            host.trial = Some(Trial { job: at.job, until });
         }
     }
 
@@ -344,7 +344,7 @@
             let caution = self.caution(at);
             for (index, host) in (0..).zip(hosts) {
                 self.plan_start(TaskName { step: at, index }, &host, now, out);
-                self.put_on_probation(&host, at, caution, now);
+                self.put_on_trial(&host, at, caution, now);
             }
             self.unreserve(at);
             return;
--- a/wigeongate-core/src/workflow/planned_starts.rs
+++ b/wigeongate-core/src/workflow/planned_starts.rs
@@ -43,7 +43,7 @@
                 claim.stage = Stage::Ordered;
                 claim.ordered = now;
                 claim.since = now;
-                self.begin_probation(&plan.order.host, key.0.step, now);
+                self.begin_trial(&plan.order.host, key.0.step, now);
                 out.push(Action::Start(plan.order));
             } else {
                 self.release(&plan.order.host, key, Proof::NotOrdered, now, out);
@@ -51,14 +51,14 @@
         }
     }
 
-    /// Lets the probation of a job on a host count from the order of its start.
-    fn begin_probation(&mut self, id: &HostId, at: StepId, now: Millis) {
-        let until = now + self.probation(at);
+    /// Lets the trial of a job on a host count from the order of its start.
+    fn begin_trial(&mut self, id: &HostId, at: StepId, now: Millis) {
+        let until = now + self.trial(at);
         let host = self.hosts.get_mut(id);
-        if let Some(probation) = host.and_then(|host| host.probation.as_mut())
-            && probation.job == at.job
+        if let Some(trial) = host.and_then(|host| host.trial.as_mut())
+            && trial.job == at.job
         {
-            probation.until = until;
+            trial.until = until;
         }
     }
 
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -38,7 +38,7 @@
         host.reported = host.reported.max(report.sent);
         if host.boot_ms != report.boot_ms {
             host.last_end = 0;
-            host.probation = None;
+            host.trial = None;
         }
         host.boot_ms = report.boot_ms;
         host.failing = None;
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -6,11 +6,11 @@
 use super::allowance::Allowances;
 use super::crash::Accusation;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
+use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
 use super::message::{Action, Proof, StopOrder};
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
-use super::quarantine::Quarantine;
 use super::restore::{LoggedRun, Record};
 use super::rules::{QueueRules, Rules};
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
@@ -91,7 +91,7 @@
     /// Crashes whose suspects have not been cleared or given up, the oldest first.
     pub(super) accusations: VecDeque<Accusation>,
     /// Queues whose jobs crash their hosts.
-    pub(super) quarantine: Quarantine,
+    pub(super) isolation: Isolation,
     /// Runs reported for jobs that are not known yet, with their hosts.
     pub(super) orphan_runs: HashMap<WorkflowId, Vec<(HostId, RunKey)>>,
     /// Number of the newest record.
@@ -150,7 +150,7 @@
         } else {
             let id = entry.id.clone();
             self.hosts.insert(id.clone(), Host::new(entry, now));
-            self.quarantine_successor(&id, now);
+            self.isolate_successor(&id, now);
         }
     }
 
@@ -284,7 +284,7 @@
         self.judge_losses(now, out);
         self.expire_hosts(now, out);
         self.clear_suspects(now, out);
-        self.update_quarantine(now, out);
+        self.update_isolation(now, out);
         self.retry_stops(now, out);
         self.forget_hosts();
         self.dirty = true;
