End the runs of a host that has shut down once it refuses connections

Cause: a host that announced its shutdown, left the registry and refuses connections was treated like one that is cut off. Change: these three facts together prove that the process has ended. The line 'owner: the host is no longer listed.' says whether it was draining. Test: tasks_of_a_host_that_has_shut_down_start_again_at_once failed before (8 of 8 runs away), passes now.

--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -56,12 +56,16 @@
             ended: false,
         });
         failing.ended |= failure != PollFailure::NoAnswer;
-        if failure == PollFailure::Replaced {
-            host.answered = false;
+        let has_left = host.entry.draining && !host.listed;
+        let proof = match failure {
             // Orders name the executor, so that its successor refuses those still under way.
-            let runs = host.claims.keys().copied().collect();
-            self.lose_runs(id, runs, Proof::Replaced, now, out);
-        }
+            PollFailure::Replaced => Proof::Replaced,
+            PollFailure::Refused if has_left => Proof::Left,
+            PollFailure::Refused | PollFailure::NoAnswer => return,
+        };
+        host.answered = false;
+        let runs = host.claims.keys().copied().collect();
+        self.lose_runs(id, runs, proof, now, out);
     }
 
     /// Judges the losses of hosts whose processes have ended a moment ago.
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -163,6 +163,23 @@
     assert_eq!(away.count(), 0);
 }
 
+#[test]
+fn tasks_of_a_host_that_has_shut_down_start_again_at_once() {
+    let mut world = deployment(2);
+    let service = StepSpec {
+        long_running: true,
+        ..step(8, CORE)
+    };
+    world.submit(flow(7, vec![service], None));
+    world.run_for(1_000);
+    let left = world.hosts_running(task(7, 0, 0))[0].clone();
+    world.shut_down_host(&left, 2_000);
+    world.run_for(1_000);
+    let away = (0..8).filter(|index| world.hosts_running(task(7, 0, *index)).is_empty());
+    assert_eq!(away.count(), 0);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn no_start_is_ordered_on_a_host_that_refuses_connections() {
     let mut world = deployment(2);
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -103,6 +103,21 @@
         self.flows.iter().map(|flow| flow.id.0)
     }
 
+    /// Lets a host announce its shutdown and leave for good after a while.
+    pub fn shut_down_host(&mut self, id: &HostId, after_ms: u64) {
+        let executor = self.executors.get_mut(id).expect("the host is known");
+        executor.entry.draining = true;
+        let entry = executor.entry.clone();
+        self.scheduler.list_host(entry, Millis(self.now));
+        self.run_for(after_ms);
+        self.crash(id);
+        if let Some(executor) = self.executors.get_mut(id) {
+            executor.dead = true;
+            executor.reachable = false;
+        }
+        self.unlist(id);
+    }
+
     pub(super) fn crash_by_task(&mut self, id: &HostId, cause: TaskName) {
         let Some(executor) = self.executors.get(id).filter(|at| !at.dead) else {
             return;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -418,14 +418,14 @@
     /// Opens links to new executors, updates addresses and drops links to forgotten ones.
     fn update_hosts(&mut self, list: Vec<HostEntry>) {
         let now = self.shared.now();
-        let gone: Vec<HostId> = self
+        let gone: Vec<(HostId, bool)> = self
             .scheduler
             .hosts()
             .filter(|(host, listed)| *listed && !list.iter().any(|entry| entry.id == host.id))
-            .map(|(host, _)| host.id.clone())
+            .map(|(host, _)| (host.id.clone(), host.draining))
             .collect();
-        for id in gone {
-            info!(host = %id, "owner: the host is no longer listed.");
+        for (id, draining) in gone {
+            info!(host = %id, draining, "owner: the host is no longer listed.");
             self.scheduler.unlist_host(&id);
         }
         for entry in list {
