Try a suspect on the machine that crashed under it when no other may run it

Cause: a suspect avoids the machines that crashed under it, without end. If the queue's policy or a label allows no other host, it waits for good. Change: it avoids them for 2 s. Test: a_suspect_that_only_the_crashed_machine_may_run_is_tried_there_again failed before (running after 8 s), passes now.

--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -292,6 +292,9 @@
         let mut convicted = Vec::new();
         for (task, _) in &blame.suspects {
             let job = task.step.job;
+            if let Some(job) = self.jobs.get_mut(&job) {
+                job.crashed = now;
+            }
             if is_convicted(self.crashes(*task)) && !convicted.contains(&job) {
                 convicted.push(job);
             }
--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -48,6 +48,10 @@
 /// job to the crash of its host.
 const TRIAL_FACTOR: u64 = 4;
 
+/// How long a job avoids the machines that crashed under it, in milliseconds; no other host may be
+/// allowed to run it.
+const AVOID_MS: u64 = 2_000;
+
 /// The number of starts without a crash after which a queue is no longer suspected.
 const QUEUE_PASSES: u32 = 30;
 
@@ -308,20 +312,12 @@
         })
     }
 
-    /// Returns whether a host is none of those that crashed under the job, if there are others: a
-    /// second crash elsewhere shows that the cause was not the machine.
+    /// Returns whether a host is none of those that crashed under the job, as far as it need not
+    /// wait for another: a second crash elsewhere shows that the cause was not the machine.
     fn is_other_machine(&self, host: &Host, need: &Need<'_>) -> bool {
-        let machines = self.jobs.get(&need.step.job).map(|job| &job.machines);
-        let Some(machines) = machines.filter(|machines| !machines.is_empty()) else {
-            return true;
-        };
-        let crashed = |other: &Host| machines.contains(&other.entry.address);
-        !crashed(host)
-            || self
-                .hosts
-                .values()
-                .filter(|other| other.entry.service == need.service && other.listed)
-                .all(crashed)
+        self.jobs.get(&need.step.job).is_none_or(|job| {
+            !job.machines.contains(&host.entry.address) || need.now.since(job.crashed).0 >= AVOID_MS
+        })
     }
 
     /// Puts one more host into isolation for a step that found none, unless enough are there or
@@ -356,7 +352,8 @@
                 && self.accepts_starts(host, now)
                 && label.is_none_or(|label| host.entry.has_label(label))
                 && !step.advice.denied.contains(&host.entry.id)
-                && !job.machines.contains(&host.entry.address)
+                && (!job.machines.contains(&host.entry.address)
+                    || now.since(job.crashed).0 >= AVOID_MS)
         };
         self.hosts
             .values()
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -147,6 +147,8 @@
     pub over_share: bool,
     /// Addresses of the hosts that crashed under a suspected task.
     pub machines: Vec<String>,
+    /// When the last of them was known to be lost.
+    pub crashed: Millis,
     /// Whether an earlier owner may have started tasks of the job.
     pub inherited: bool,
     /// The time by which the job should end, on the scheduler's clock.
@@ -177,6 +179,7 @@
             started: false,
             over_share: false,
             machines: Vec::new(),
+            crashed: Millis::ZERO,
             inherited: false,
             objective: Millis((now + time_budget).0.saturating_sub(age.0)),
             time_budget,
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -278,3 +278,26 @@
     assert_eq!(completed(&world, jobs), 3);
     assert_eq!(world.starts, 3);
 }
+
+#[test]
+fn a_suspect_that_only_the_crashed_machine_may_run_is_tried_there_again() {
+    for gang in [false, true] {
+        let mut hosts = vec![host(0, 8 * CORE), host(1, 8 * CORE)];
+        hosts[0].labels.push("kind-b".to_owned());
+        let rules = rules(3, Resources::UNBOUNDED);
+        let mut world = World::new(1, hosts, rules, Faults::default());
+        world.lease_ms = LONG_LEASE_MS;
+        world.take_over();
+        world.run_for(100);
+        let only = StepSpec {
+            requires: Some("kind-b".to_owned()),
+            gang,
+            ..step(1, CORE)
+        };
+        world.submit(flow(7, vec![only], None));
+        world.run_for(60);
+        world.kill_host(&HostId::from("w-0"));
+        world.run_for(8_000);
+        assert_eq!(world.status(7), Some(WorkflowStatus::Completed), "{gang}");
+    }
+}
