Isolate another host when those that are isolated do not suit a suspect

Cause: no further host was isolated while enough were free, also if the queue's policy or a label kept the suspect off all of these; and as it went on waiting, they stayed isolated. Change: only hosts that suit the step count; if no more may be isolated, one that does not suit it is released. Test: a_suspect_gets_a_host_although_those_that_are_isolated_do_not_suit_it failed before (2 of 3 jobs completed), passes now.

--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -235,8 +235,8 @@
 
     /// Keeps up to this share of a service's hosts in isolation, first those with the least work to
     /// lose; the others leave it in a while.
-    /// Returns how many hosts may still be added, and how many are not on trial.
-    fn keep_isolated(&mut self, service: &str, percent: usize, now: Millis) -> (usize, usize) {
+    /// Returns how many hosts may still be added.
+    fn keep_isolated(&mut self, service: &str, percent: usize, now: Millis) -> usize {
         let in_service = |host: &&Host| host.listed && host.entry.service == service;
         let total = self.hosts.values().filter(in_service).count();
         let lost = self.isolation.lost.iter();
@@ -251,14 +251,12 @@
             .collect();
         kept.sort_unstable();
         kept.truncate(most);
-        let mut unused = 0;
         for (_, id) in &kept {
             if let Some(host) = self.hosts.get_mut(id) {
                 host.isolated = now + Millis(ISOLATION_MS);
-                unused += usize::from(host.trial.is_none());
             }
         }
-        (most - kept.len(), unused)
+        most - kept.len()
     }
 
     /// Returns the services of the queues under suspicion.
@@ -330,10 +328,26 @@
         } else {
             QUEUE_PERCENT
         };
-        let (left, unused) = self.keep_isolated(service, percent, now);
-        if left == 0 || unused > self.pass.unplaced {
+        let left = self.keep_isolated(service, percent, now);
+        let is_free = |host: &&Host| {
+            host.entry.service == service && host.isolated > now && host.trial.is_none()
+        };
+        let (suitable, unsuitable): (Vec<&Host>, Vec<&Host>) = self
+            .hosts
+            .values()
+            .filter(is_free)
+            .partition(|host| self.may_try(host, at, now));
+        if suitable.len() > self.pass.unplaced {
             return;
         }
+        if left == 0 {
+            // Makes room by ending the isolation of a host that does not help this step.
+            let released = unsuitable.first().map(|host| host.entry.id.clone());
+            let Some(host) = released.and_then(|id| self.hosts.get_mut(&id)) else {
+                return;
+            };
+            host.isolated = now;
+        }
         let candidate = self.draft_candidate(at, service, now);
         if let Some(host) = candidate.and_then(|id| self.hosts.get_mut(&id)) {
             host.isolated = now + Millis(ISOLATION_MS);
@@ -343,17 +357,11 @@
 
     /// Returns the host that may run a step on which the least would be lost.
     fn draft_candidate(&self, at: StepId, service: &str, now: Millis) -> Option<HostId> {
-        let job = self.jobs.get(&at.job)?;
-        let step = job.step(at)?;
         let usable = |host: &&Host| {
-            let label = step.spec.requires.as_deref();
             host.entry.service == service
                 && host.isolated <= now
                 && self.accepts_starts(host, now)
-                && label.is_none_or(|label| host.entry.has_label(label))
-                && !step.advice.denied.contains(&host.entry.id)
-                && (!job.machines.contains(&host.entry.address)
-                    || now.since(job.crashed).0 >= AVOID_MS)
+                && self.may_try(host, at, now)
         };
         self.hosts
             .values()
@@ -361,4 +369,20 @@
             .min_by_key(|host| (host.at_risk(), host.entry.id.clone()))
             .map(|host| host.entry.id.clone())
     }
+
+    /// Returns whether a suspected step may run on a host, as far as labels, advice and the
+    /// machines that crashed under its job tell.
+    fn may_try(&self, host: &Host, at: StepId, now: Millis) -> bool {
+        let Some(job) = self.jobs.get(&at.job) else {
+            return false;
+        };
+        let is_avoided =
+            job.machines.contains(&host.entry.address) && now.since(job.crashed).0 < AVOID_MS;
+        let suits = job.step(at).is_some_and(|step| {
+            let label = step.spec.requires.as_deref();
+            label.is_none_or(|label| host.entry.has_label(label))
+                && !step.advice.denied.contains(&host.entry.id)
+        });
+        suits && !is_avoided
+    }
 }
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -301,3 +301,33 @@
         assert_eq!(world.status(7), Some(WorkflowStatus::Completed), "{gang}");
     }
 }
+
+#[test]
+fn a_suspect_gets_a_host_although_those_that_are_isolated_do_not_suit_it() {
+    // Two suspects have been tried on hosts that stay isolated for a while; the third needs a label
+    // that these hosts do not have.
+    let mut hosts: Vec<_> = (0..10).map(|at| host(at, 8 * CORE)).collect();
+    for at in [8, 9] {
+        hosts[at].labels.push("kind-b".to_owned());
+    }
+    let rules = rules(3, Resources::UNBOUNDED);
+    let mut world = World::new(1, hosts, rules, Faults::default());
+    world.lease_ms = LONG_LEASE_MS;
+    world.take_over();
+    world.run_for(100);
+    for (job, label, pause_ms) in [(1, None, 0), (2, None, 1_000), (3, Some("kind-b"), 0)] {
+        let only = StepSpec {
+            requires: label.map(str::to_owned),
+            ..step(1, CORE)
+        };
+        world.submit(flow(job, vec![only], None));
+        while world.hosts_running(task(job, 0, 0)).is_empty() {
+            world.run_for(10);
+        }
+        let lost = world.hosts_running(task(job, 0, 0))[0].clone();
+        world.kill_host(&lost);
+        world.run_for(pause_ms);
+    }
+    world.run_for(8_000);
+    assert_eq!(completed(&world, 1..4), 3);
+}
