Keep ended jobs known until the store has removed their keys

Cause: the cleanup took keys off its list before the transaction that removes them, and the scheduler forgot a job before its key had left the store. A job that the owner does not know and the store holds counts as one that was never submitted, so a question of its caller, or a read of all stored jobs after a loss of history, added it anew.

Change: a job is forgotten, and its log batches may be removed, once the store has confirmed the removal of its key; a refused removal is sent again. Submissions carry the revision of the stored job, and a job from before the revision up to which the owner has read all jobs is not added again.

Why it works: "unknown but stored" now only means "not taken in yet". Removals follow each other after 100 ms while more keys wait than one transaction takes.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -12,6 +12,7 @@
 mod host_choice;
 mod host_lease;
 mod host_loss;
+mod intake;
 mod isolation;
 mod job;
 mod message;
@@ -20,6 +21,7 @@
 mod planned_starts;
 mod reports;
 mod restore;
+mod retention;
 mod rules;
 mod scheduler;
 mod spec;
@@ -27,11 +29,13 @@
 
 pub use advice_gates::{AdviceGates, greeting_delay};
 pub use crash::Crash;
+pub use intake::{Intake, StoredJob, Submission};
 pub use message::{
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
     StartOrder, StartResult, StopOrder,
 };
 pub use restore::{CrashRecord, Record};
+pub use retention::{Removal, Retention};
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
 pub use scheduler::{WorkflowScheduler, WorkflowSettings};
 pub use spec::{Repeat, StepId, StepSpec, TaskName, Workflow, WorkflowId, WorkflowSpec};
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -260,20 +260,26 @@
         self.hosts.values().filter(unknown).count()
     }
 
-    /// Removes the jobs whose retention has expired and returns their identifiers.
-    pub fn remove_expired(&mut self, now: Millis) -> Vec<WorkflowId> {
+    /// Returns the jobs whose retention has expired, the oldest first. They stay known until
+    /// [`WorkflowScheduler::forget_jobs`].
+    pub fn expired_jobs(&self, now: Millis) -> Vec<WorkflowId> {
         let retention = self.settings.retention;
         let old = |job: &Job| job.end.is_some() && now.since(job.ended) > retention;
-        let ids: Vec<WorkflowId> = self
+        let mut jobs: Vec<(Millis, WorkflowId)> = self
             .jobs
             .iter()
             .filter(|(_, job)| old(job))
-            .map(|(id, _)| *id)
+            .map(|(id, job)| (job.ended, *id))
             .collect();
-        for id in &ids {
+        jobs.sort_unstable();
+        jobs.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Forgets jobs that the store no longer holds.
+    pub fn forget_jobs(&mut self, jobs: &[WorkflowId]) {
+        for id in jobs {
             self.jobs.remove(id);
         }
-        ids
     }
 
     /// Handles everything that is due by time alone; `wall_ms` is the wall clock in milliseconds
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -6,6 +6,7 @@
 mod leases;
 mod limits;
 mod records;
+mod retention;
 mod world;
 
 use std::sync::Arc;
--- a/wigeongate/src/entry/accept.rs
+++ b/wigeongate/src/entry/accept.rs
@@ -30,8 +30,8 @@
 /// The outcome of accepting a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AcceptOutcome {
-    /// The job is stored now.
-    Stored,
+    /// The job is stored now, at this revision.
+    Stored(u64),
     /// The job was stored already.
     Duplicate,
     /// The job is not stored and will not be.
@@ -152,7 +152,7 @@
         Ok(TxnOutcome::Done(revision)) => {
             for (flow, answer) in batch {
                 info!(job = %flow.id, queue = %flow.queue, revision, "accept: job stored.");
-                let _ = answer.send(AcceptOutcome::Stored);
+                let _ = answer.send(AcceptOutcome::Stored(revision));
             }
         }
         Ok(TxnOutcome::Conflict(items)) => {
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -11,7 +11,7 @@
 use tracing::{info, warn};
 use wigeongate_core::ids::{QueueId, TeamId};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{Workflow, WorkflowId, WorkflowStatus};
+use wigeongate_core::workflow::{StoredJob, Workflow, WorkflowId, WorkflowStatus};
 use wigeongate_platform::job_api;
 use wigeongate_platform::manifest::Manifest;
 
@@ -19,7 +19,7 @@
 use super::listen::Reply;
 use super::peers::{PeerAnswer, PeerCall, call_owner};
 use super::ready::empty_reply;
-use super::records::{decode, job_key};
+use super::records::{decode_job, job_key};
 use super::shared::Shared;
 use crate::clock::wall_ms;
 
@@ -165,12 +165,11 @@
         let outcome = self.acceptor.accept(flow.clone()).await;
         self.shared.metrics.count("accept", outcome_label(outcome));
         match outcome {
-            AcceptOutcome::Stored | AcceptOutcome::Duplicate => {
-                if outcome == AcceptOutcome::Stored {
-                    self.notify_owner(flow);
-                }
+            AcceptOutcome::Stored(revision) => {
+                self.notify_owner(StoredJob { flow, revision });
                 empty_reply(StatusCode::OK)
             }
+            AcceptOutcome::Duplicate => empty_reply(StatusCode::OK),
             AcceptOutcome::Refused => retry_later(StatusCode::SERVICE_UNAVAILABLE),
             AcceptOutcome::Unknown => retry_later(StatusCode::GATEWAY_TIMEOUT),
         }
@@ -178,11 +177,11 @@
 
     /// Submits a stored job to the owner, without retries: if the call fails, the owner finds the
     /// job in the store within a second.
-    fn notify_owner(&self, flow: Workflow) {
+    fn notify_owner(&self, job: StoredJob) {
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
-            let id = flow.id;
-            let result = call_owner(&shared, PeerCall::Submit(Box::new(flow))).await;
+            let id = job.flow.id;
+            let result = call_owner(&shared, PeerCall::Submit(Box::new(job))).await;
             if !matches!(result, Ok(PeerAnswer::Done)) {
                 info!(job = %id, ?result,
                     "callers: submitting the job to the owner failed; the owner finds it in the store.");
@@ -213,10 +212,11 @@
         match self.call_owner_retrying(PeerCall::State(id)).await {
             Some(PeerAnswer::State(Some(status))) => json(job_api::encode_state(status)),
             Some(PeerAnswer::State(None)) => match self.read_job(id).await {
-                Ok(Some(flow)) => {
-                    self.notify_owner(flow);
-                    json(job_api::encode_state(WorkflowStatus::Queued))
-                }
+                Ok(Some(job)) => match self.submit_stored(job).await {
+                    Some(PeerAnswer::Done) => json(job_api::encode_state(WorkflowStatus::Queued)),
+                    Some(PeerAnswer::Removed) => empty_reply(StatusCode::GONE),
+                    _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+                },
                 Ok(None) => empty_reply(StatusCode::GONE),
                 Err(error) => {
                     info!(job = %id, error = format!("{error:#}"),
@@ -229,12 +229,15 @@
     }
 
     /// Reads a job from the store; `None` when it is not stored.
-    async fn read_job(&self, id: WorkflowId) -> Result<Option<Workflow>> {
-        let key = job_key(id);
-        match self.shared.store.get(&key).await? {
-            Some(item) => decode(&key, &item.value).map(Some),
-            None => Ok(None),
-        }
+    async fn read_job(&self, id: WorkflowId) -> Result<Option<StoredJob>> {
+        let item = self.shared.store.get(&job_key(id)).await?;
+        item.as_ref().map(decode_job).transpose()
+    }
+
+    /// Submits a job that the owner does not know and the store holds.
+    async fn submit_stored(&self, job: StoredJob) -> Option<PeerAnswer> {
+        self.call_owner_retrying(PeerCall::Submit(Box::new(job)))
+            .await
     }
 
     async fn cancel(&self, id: WorkflowId) -> Reply {
@@ -248,18 +251,16 @@
     /// Cancels a job that the owner does not know: reads it from the store and submits it first.
     async fn cancel_stored(&self, id: WorkflowId) -> Reply {
         match self.read_job(id).await {
-            Ok(Some(flow)) => {
-                let submitted = self
-                    .call_owner_retrying(PeerCall::Submit(Box::new(flow)))
-                    .await;
-                if submitted.is_none() {
-                    return retry_later(StatusCode::SERVICE_UNAVAILABLE);
-                }
-                match self.call_owner_retrying(PeerCall::Cancel(id)).await {
-                    Some(PeerAnswer::Cancelled(true)) => empty_reply(StatusCode::OK),
-                    _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+            Ok(Some(job)) => match self.submit_stored(job).await {
+                Some(PeerAnswer::Done) => {
+                    match self.call_owner_retrying(PeerCall::Cancel(id)).await {
+                        Some(PeerAnswer::Cancelled(true)) => empty_reply(StatusCode::OK),
+                        _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+                    }
                 }
-            }
+                Some(PeerAnswer::Removed) => empty_reply(StatusCode::GONE),
+                _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+            },
             Ok(None) => empty_reply(StatusCode::GONE),
             Err(_) => retry_later(StatusCode::SERVICE_UNAVAILABLE),
         }
@@ -277,7 +278,7 @@
 
 const fn outcome_label(outcome: AcceptOutcome) -> &'static str {
     match outcome {
-        AcceptOutcome::Stored => "new",
+        AcceptOutcome::Stored(_) => "new",
         AcceptOutcome::Duplicate => "known",
         AcceptOutcome::Refused => "refused",
         AcceptOutcome::Unknown => "unknown",
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -5,11 +5,11 @@
 
 use tokio::sync::mpsc;
 use tracing::warn;
-use wigeongate_core::workflow::Workflow;
-use wigeongate_platform::store::{Change, StoreError};
+use wigeongate_core::workflow::StoredJob;
+use wigeongate_platform::store::{Change, Item, StoreError};
 
 use super::owner::OwnerEvent;
-use super::records::{JOBS_PREFIX, decode};
+use super::records::{JOBS_PREFIX, decode_job};
 use super::shared::Shared;
 
 /// The time between polls of the store for accepted jobs, in milliseconds.
@@ -23,36 +23,48 @@
 ) {
     while !events.is_closed() {
         tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
-        let found = match shared.store.watch(JOBS_PREFIX, after, 0).await {
-            Ok((changes, read_revision)) => {
-                after = after.max(read_revision);
-                let items = changes.into_iter().filter_map(|change| match change {
-                    Change::Put(item) => Some(item),
-                    Change::Removed(_) => None,
-                });
-                items.collect()
-            }
-            Err(StoreError::Compacted(_)) => match shared.store.range(JOBS_PREFIX).await {
-                Ok((items, read_revision)) => {
-                    after = after.max(read_revision);
-                    items
-                }
-                Err(error) => {
-                    warn!(%error, "owner: the accepted jobs cannot be read; trying again.");
-                    continue;
-                }
-            },
+        let (items, revision) = match read_changes(&shared, after).await {
+            Ok(found) => found,
             Err(error) => {
                 warn!(%error, "owner: polling for accepted jobs failed; trying again.");
                 continue;
             }
         };
-        let flows: Vec<Workflow> = found
-            .iter()
-            .filter_map(|item| decode(&item.key, &item.value).ok())
-            .collect();
-        if !flows.is_empty() && events.send(OwnerEvent::JobsFound(flows)).is_err() {
+        after = after.max(revision);
+        let jobs = decode_jobs(&items);
+        if !jobs.is_empty() && events.send(OwnerEvent::JobsFound(jobs)).is_err() {
             return;
         }
     }
 }
+
+/// Returns the jobs that were stored after a revision, or all if the store no longer has the
+/// changes, with the revision up to which they are complete.
+async fn read_changes(shared: &Shared, after: u64) -> Result<(Vec<Item>, u64), StoreError> {
+    match shared.store.watch(JOBS_PREFIX, after, 0).await {
+        Ok((changes, revision)) => {
+            let items = changes.into_iter().filter_map(|change| match change {
+                Change::Put(item) => Some(item),
+                Change::Removed(_) => None,
+            });
+            Ok((items.collect(), revision))
+        }
+        Err(StoreError::Compacted(_)) => shared.store.range(JOBS_PREFIX).await,
+        Err(error) => Err(error),
+    }
+}
+
+/// Decodes jobs; one that cannot be decoded is skipped.
+pub fn decode_jobs(items: &[Item]) -> Vec<StoredJob> {
+    let decoded = items.iter().filter_map(|item| {
+        decode_job(item)
+            .inspect_err(|error| {
+                warn!(
+                    error = format!("{error:#}"),
+                    "owner: a stored job cannot be decoded; it is skipped."
+                );
+            })
+            .ok()
+    });
+    decoded.collect()
+}
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -6,10 +6,10 @@
 use tokio::sync::mpsc;
 use tracing::{info, warn};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{Record, WorkflowId};
+use wigeongate_core::workflow::{Record, Retention, WorkflowId};
 use wigeongate_platform::store::{Txn, TxnOutcome};
 
-use super::cleanup::Cleanup;
+use super::cleanup::{self, MAX_REMOVED_KEYS};
 use super::owner::OwnerEvent;
 use super::records::{LogBatch, OWNER_KEY, batch_key, encode};
 use super::shared::Shared;
@@ -24,10 +24,6 @@
 /// The delay before a failed write is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 100;
 
-/// The time between removals of expired keys, in milliseconds. One transaction removes 31 keys, and
-/// about 60 keys expire per second in production.
-const CLEANUP_INTERVAL_MS: u64 = 400;
-
 /// How long a record may wait to be written, in milliseconds, before new starts wait too. A write
 /// without an answer and its retry take less.
 const MAX_LAG_MS: u64 = 800;
@@ -55,8 +51,7 @@
     last_write: Millis,
     /// The number of batches of this epoch.
     batch_count: u64,
-    cleanup: Cleanup,
-    last_cleanup: Millis,
+    retention: Retention,
 }
 
 impl Log {
@@ -68,7 +63,6 @@
         events: mpsc::UnboundedSender<OwnerEvent>,
     ) -> Self {
         Self {
-            last_cleanup: shared.now(),
             shared,
             epoch,
             revision,
@@ -79,13 +73,13 @@
             oldest_pending: None,
             last_write: Millis::ZERO,
             batch_count: 0,
-            cleanup: Cleanup::default(),
+            retention: Retention::default(),
         }
     }
 
     /// Adds a stored batch of an earlier owner, so that it is removed when its jobs expire.
     pub fn add_batch(&mut self, key: &str, records: &[Record]) {
-        self.cleanup.add_batch(key, records);
+        self.retention.add_batch(key, records);
     }
 
     /// Adds a record to the next write.
@@ -132,7 +126,7 @@
         let last = self.first_unwritten + u64::try_from(count).unwrap_or(0) - 1;
         self.first_unwritten = last + 1;
         let key = batch_key(self.epoch, self.batch_count);
-        self.cleanup.add_batch(&key, &records);
+        self.retention.add_batch(&key, &records);
         let txn = Txn {
             expected: vec![(OWNER_KEY.to_owned(), self.revision), (key.clone(), 0)],
             puts: vec![(key.clone(), encode(&LogBatch { records }), 0)],
@@ -149,25 +143,28 @@
         });
     }
 
-    /// Returns whether a removal of expired keys is due; if so, the next is due an interval later.
-    pub fn take_cleanup_turn(&mut self, now: Millis) -> bool {
-        let due = now.since(self.last_cleanup).0 >= CLEANUP_INTERVAL_MS;
-        if due {
-            self.last_cleanup = now;
-        }
-        due
+    /// Returns whether a removal of expired keys may begin.
+    pub fn may_remove(&self, now: Millis) -> bool {
+        !self.writing && self.retention.is_due(now)
     }
 
-    /// Queues expired jobs, and batches without records of other jobs, and removes the next keys
-    /// unless a write is in progress.
-    pub fn clean_up(&mut self, expired: &[WorkflowId], is_known: impl Fn(WorkflowId) -> bool) {
-        if !expired.is_empty() {
-            self.cleanup.expire_jobs(expired, is_known);
-        }
-        if !self.writing {
-            self.cleanup.remove_next(&self.shared, self.revision);
+    /// Begins to remove the keys of expired jobs, and batches without records of other jobs.
+    pub fn remove(&mut self, expired: &[WorkflowId], now: Millis) {
+        let removal = self.retention.begin_removal(expired, MAX_REMOVED_KEYS, now);
+        if let Some(removal) = removal {
+            cleanup::remove(&self.shared, &self.events, removal, self.revision);
         }
     }
+
+    /// Ends the removal in progress; returns the jobs that have left the store.
+    pub fn end_removal(&mut self, is_confirmed: bool) -> Vec<WorkflowId> {
+        self.retention.end_removal(is_confirmed)
+    }
+
+    /// Lets batches be removed that have no records of stored jobs.
+    pub fn discard_batches(&mut self, is_stored: impl Fn(WorkflowId) -> bool) {
+        self.retention.discard_batches(is_stored);
+    }
 }
 
 /// Writes a batch, with retries until it is known to be written or another gate is the owner.
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,8 +12,9 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Advice, AdviceGates, HostEntry, HostReport, PollFailure, Proof, Record, StartResult,
-    StepId, TaskName, Workflow, WorkflowId, WorkflowScheduler, WorkflowSettings,
+    Action, Advice, AdviceGates, HostEntry, HostReport, Intake, PollFailure, Proof, Record,
+    StartResult, StepId, StoredJob, Submission, TaskName, WorkflowId, WorkflowScheduler,
+    WorkflowSettings,
 };
 
 use super::advice::AdviceClient;
@@ -63,7 +64,9 @@
     /// An advice call that named these hosts ended; `None` without an answer.
     AdviceAnswered(StepId, Vec<HostId>, Option<Advice>),
     /// Accepted jobs were found in the store.
-    JobsFound(Vec<Workflow>),
+    JobsFound(Vec<StoredJob>),
+    /// The removal of expired keys has ended; whether the store has confirmed it.
+    RemovalAnswered(bool),
     /// The log is written up to the record with this number.
     LogWritten(u64),
     /// Writes of the log fail repeatedly, so another gate should take over.
@@ -112,8 +115,7 @@
     log: Log,
     /// Cancellations by the number of their record; each is answered when the record is written.
     pending_cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
-    /// The revision up to which the accepted jobs were read.
-    jobs_revision: u64,
+    intake: Intake,
     /// Whether another gate has become the owner; ends the loop.
     fenced: bool,
     /// Whether every listed host has answered at least once.
@@ -157,7 +159,7 @@
             events,
             log,
             pending_cancels: Vec::new(),
-            jobs_revision: 0,
+            intake: Intake::default(),
             fenced: false,
             hosts_known: false,
             next_pass: Instant::now(),
@@ -175,7 +177,7 @@
     ///
     /// Fails if the store cannot be read.
     pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<OwnerEvent>) -> Result<()> {
-        self.load().await?;
+        let revision = self.load().await?;
         tokio::spawn(registry::follow(
             Arc::clone(&self.shared),
             self.events.clone(),
@@ -183,7 +185,7 @@
         tokio::spawn(job_watch::follow(
             Arc::clone(&self.shared),
             self.events.clone(),
-            self.jobs_revision,
+            revision,
         ));
         let mut ticks = interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -264,31 +266,23 @@
         }
     }
 
-    /// Reads the accepted jobs and the log from the store and replays them.
-    async fn load(&mut self) -> Result<()> {
+    /// Reads the accepted jobs and the log from the store and replays them; returns the revision up
+    /// to which the jobs are complete.
+    async fn load(&mut self) -> Result<u64> {
         let started = self.shared.now();
         self.configure();
-        let (jobs, revision) = self.shared.store.range(JOBS_PREFIX).await?;
-        self.jobs_revision = revision;
+        let (items, revision) = self.shared.store.range(JOBS_PREFIX).await?;
         let (batches, _) = self.shared.store.range(LOG_PREFIX).await?;
         let now = self.shared.now();
         self.scheduler.tick(now, wall_ms(), &mut Vec::new());
-        let mut flows = Vec::with_capacity(jobs.len());
-        for item in &jobs {
-            match decode::<Workflow>(&item.key, &item.value) {
-                Ok(flow) => flows.push(flow),
-                Err(error) => warn!(
-                    error = format!("{error:#}"),
-                    "owner: a stored job cannot be decoded; it is skipped."
-                ),
-            }
-        }
+        let mut jobs = job_watch::decode_jobs(&items);
         // Jobs count against a team's limits in the order in which they were accepted.
-        flows.sort_by_key(|flow| flow.accepted);
-        for flow in flows {
-            let age = job_age(flow.accepted);
-            self.scheduler.restore(flow, now, age);
+        jobs.sort_by_key(|job| job.flow.accepted);
+        for job in jobs {
+            let age = job_age(job.flow.accepted);
+            self.scheduler.restore(job.flow, now, age);
         }
+        self.intake = Intake::new(revision);
         for item in &batches {
             match decode::<LogBatch>(&item.key, &item.value) {
                 Ok(batch) => {
@@ -312,13 +306,13 @@
         let took_ms = self.shared.now().since(started).0;
         info!(
             epoch = self.epoch,
-            jobs = jobs.len(),
+            jobs = items.len(),
             open = self.scheduler.open_jobs(),
             batches = batches.len(),
             took_ms,
             "owner: state restored from the store."
         );
-        Ok(())
+        Ok(revision)
     }
 
     fn handle_event(&mut self, event: OwnerEvent, actions: &mut Vec<Action>) {
@@ -349,29 +343,38 @@
                 self.scheduler
                     .apply_advice(step, &hosts, advice.as_ref(), now);
             }
-            OwnerEvent::JobsFound(flows) => {
-                for flow in flows {
-                    self.submit(flow);
+            OwnerEvent::JobsFound(jobs) => {
+                for job in jobs {
+                    self.submit(job);
                 }
             }
+            OwnerEvent::RemovalAnswered(is_confirmed) => self.finish_removal(is_confirmed),
             OwnerEvent::LogWritten(number) => self.finish_write(number, actions),
             OwnerEvent::TakeoverWanted => self.yield_ownership(),
             OwnerEvent::Fenced => self.fenced = true,
         }
     }
 
-    /// Adds a job unless it is known; returns false, without adding it, after the end of the lease.
-    fn submit(&mut self, flow: Workflow) -> bool {
+    /// Adds a job unless it is known or was removed.
+    fn submit(&mut self, job: StoredJob) -> PeerAnswer {
         // After the end of the lease another owner may have started the job already.
         if !self.lease_current.load(Ordering::Relaxed) {
-            return false;
+            return PeerAnswer::NotOwner;
         }
-        let age = job_age(flow.accepted);
-        let id = flow.id;
-        if self.scheduler.submit(flow, self.shared.now(), age) {
-            debug!(job = %id, age_ms = age.0, "owner: job added.");
+        let (id, revision) = (job.flow.id, job.revision);
+        let age = job_age(job.flow.accepted);
+        let now = self.shared.now();
+        match self.intake.add(&mut self.scheduler, job, now, age) {
+            Submission::Added => {
+                debug!(job = %id, revision, age_ms = age.0, "owner: job added.");
+                PeerAnswer::Done
+            }
+            Submission::Known => PeerAnswer::Done,
+            Submission::Removed => {
+                info!(job = %id, revision, "owner: the job has ended and is removed.");
+                PeerAnswer::Removed
+            }
         }
-        true
     }
 
     fn answer(
@@ -386,13 +389,7 @@
                 self.gates.record_greeting(gate, address, now);
                 PeerAnswer::Done
             }
-            PeerCall::Submit(flow) => {
-                if self.submit(*flow) {
-                    PeerAnswer::Done
-                } else {
-                    PeerAnswer::NotOwner
-                }
-            }
+            PeerCall::Submit(job) => self.submit(*job),
             PeerCall::State(id) => PeerAnswer::State(self.scheduler.status(id)),
             PeerCall::Pending(queue) => {
                 PeerAnswer::Pending(u64::try_from(self.scheduler.queued_jobs(&queue)).unwrap_or(0))
@@ -628,18 +625,25 @@
         self.log.write();
     }
 
-    /// Removes expired jobs from the store when a removal is due.
+    /// Begins to remove expired jobs from the store when a removal is due.
     fn clean_up(&mut self) {
         let now = self.shared.now();
-        if !self.log.take_cleanup_turn(now) {
+        if self.log.may_remove(now) {
+            let expired = self.scheduler.expired_jobs(now);
+            self.log.remove(&expired, now);
+        }
+    }
+
+    /// Forgets the jobs that the store has removed.
+    fn finish_removal(&mut self, is_confirmed: bool) {
+        let removed = self.log.end_removal(is_confirmed);
+        if removed.is_empty() {
             return;
         }
-        let expired = self.scheduler.remove_expired(now);
+        self.scheduler.forget_jobs(&removed);
         let scheduler = &self.scheduler;
         let is_known = |job| scheduler.status(job).is_some();
-        if !expired.is_empty() {
-            self.start_times.retain(|task, _| is_known(task.step.job));
-        }
-        self.log.clean_up(&expired, is_known);
+        self.start_times.retain(|task, _| is_known(task.step.job));
+        self.log.discard_batches(is_known);
     }
 }
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tracing::{debug, warn};
 use wigeongate_core::ids::{GateId, HostId, QueueId};
-use wigeongate_core::workflow::{StepId, Workflow, WorkflowId, WorkflowStatus, greeting_delay};
+use wigeongate_core::workflow::{StepId, StoredJob, WorkflowId, WorkflowStatus, greeting_delay};
 use wigeongate_platform::http::{Call, CallError};
 
 use super::advice::AdviceClient;
@@ -35,7 +35,7 @@
     /// Registers a gate with the owner, by its name and address.
     Hello(GateId, String),
     /// Submits an accepted job.
-    Submit(Box<Workflow>),
+    Submit(Box<StoredJob>),
     /// Returns the state of a job.
     State(WorkflowId),
     /// Cancels a job.
@@ -68,6 +68,8 @@
     Advice(Vec<(HostId, String)>, u64),
     /// The call could not be carried out.
     Failed,
+    /// The submitted job had ended, and it was removed from the store.
+    Removed,
 }
 
 /// Calls the gate at `address`; `extra_ms` is added to the timeout, in milliseconds.
--- a/wigeongate/src/entry/records.rs
+++ b/wigeongate/src/entry/records.rs
@@ -4,7 +4,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wigeongate_core::ids::GateId;
-use wigeongate_core::workflow::{Record, WorkflowId};
+use wigeongate_core::workflow::{Record, StoredJob, WorkflowId};
+use wigeongate_platform::store::Item;
 
 /// The key of the owner's record, the owner key.
 pub const OWNER_KEY: &str = "wigeongate/owner";
@@ -53,6 +54,14 @@
     postcard::to_stdvec(value).unwrap_or_default()
 }
 
+/// Decodes the job of an item in the store.
+pub fn decode_job(item: &Item) -> Result<StoredJob> {
+    Ok(StoredJob {
+        flow: decode(&item.key, &item.value)?,
+        revision: item.revision,
+    })
+}
+
 /// Decodes a postcard value; `key` names it in the error.
 pub fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T> {
     postcard::from_bytes(bytes).wrap_err_with(|| format!("decoding {key}"))
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -1,6 +1,7 @@
 //! Tests of gates that run as separate processes against a simulated platform.
 
 mod platform;
+mod retention;
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -58,10 +59,15 @@
 
     /// Starts a gate that uses this address of the store, and waits until it is ready.
     async fn start_at(store: SocketAddr, name: &str) -> Self {
+        Self::start_with(store, name, "").await
+    }
+
+    /// Starts a gate with further bounds, in lines of the settings file.
+    async fn start_with(store: SocketAddr, name: &str, bounds: &str) -> Self {
         let (callers, ready) = (free_address(), free_address());
         let text = format!(
             "gate: {name}\nzone: a\ncallers: {callers}\nready: {ready}\npeer: {}\nmetrics: {}\n\
-             store: {}\nbounds:\n  task_lease_ms: 2000\n  grace_s: 6\n",
+             store: {}\nbounds:\n  task_lease_ms: 2000\n  grace_s: 6\n{bounds}",
             free_address(),
             free_address(),
             store,
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -117,6 +117,10 @@
     KeepsLeases,
     /// The store neither carries out nor answers calls that concern jobs.
     HangsOnJobs,
+    /// The store answers 503 to transactions that remove keys.
+    KeepsKeys,
+    /// The same, and the store no longer has the changes of jobs.
+    KeepsKeysWithoutHistory,
 }
 
 /// A run that an executor started.
@@ -184,6 +188,17 @@
         self.expire();
         let query: HashMap<String, String> = parse_query(query);
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let keeps_keys = matches!(
+            fault,
+            StoreFault::KeepsKeys | StoreFault::KeepsKeysWithoutHistory
+        );
+        if keeps_keys && body["remove"].as_array().is_some_and(|it| !it.is_empty()) {
+            return reply(503, &json!({}));
+        }
+        let is_job_watch = path == "/api/kv-watch" && query["prefix"].contains("/job/");
+        if fault == StoreFault::KeepsKeysWithoutHistory && is_job_watch {
+            return reply(410, &json!({}));
+        }
         match (method, path) {
             ("GET", "/api/kv-key") => self.get(&query),
             ("GET", "/api/kv-range") => self.range(&query),
