--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -88,6 +88,8 @@
     passes: u32,
     /// Whether all its jobs are suspected.
     suspected: bool,
+    /// The service whose hosts its jobs crash.
+    service: String,
     /// The jobs accepted up to this time stay suspects when newer ones no longer are, in
     /// milliseconds since 1970; zero until the queue was suspected.
     suspect_until: u64,
@@ -188,8 +190,10 @@
     /// Counts a crash by a job, this long after its start, against its queue.
     pub(super) fn count_against_queue(&mut self, job: WorkflowId, delay: Millis, now: Millis) {
         if let Some(job) = self.jobs.get(&job) {
+            let service = self.rules_of(&job.flow).service.clone();
             let queue = job.flow.queue.clone();
             let record = self.isolation.queues.entry(queue).or_default();
+            record.service = service;
             record.add_crash(&job.flow, delay, now);
         }
     }
@@ -264,8 +268,11 @@
         let suspected = |(_, record): &(&QueueId, &QueueRecord)| record.suspected;
         let queues = self.isolation.queues.iter().filter(suspected);
         queues
-            .filter_map(|(queue, _)| self.queues.get(queue))
-            .map(|rules| rules.service.clone())
+            .map(|(queue, record)| {
+                let rules = self.rules.queues.get(queue);
+                rules.map_or(&record.service, |rules| &rules.service)
+            })
+            .cloned()
             .collect()
     }
 
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -105,13 +105,10 @@
         if caution < Caution::Isolated {
             return false;
         }
-        let rules = self
-            .jobs
-            .get(&at.job)
-            .and_then(|job| self.queues.get(&job.flow.queue));
-        let Some(rules) = rules.cloned() else {
+        let Some(job) = self.jobs.get(&at.job) else {
             return true;
         };
+        let rules = Arc::clone(self.rules_of(&job.flow));
         if rank >= Rank::Worthless && !self.may_lose_hosts(&rules.service) {
             return true;
         }
@@ -159,11 +156,11 @@
             };
             let ready = job.step(*at).and_then(|step| step.ready);
             let waits = ready.is_some_and(|ready| now.since(ready).0 >= DELAYED_MS);
-            if waits
-                && self.caution(*at) < Caution::Isolated
-                && let Some(rules) = self.queues.get(&job.flow.queue)
-                && let Some(capacity) = self.pass.capacities.get_mut(&rules.service)
-            {
+            if !waits || self.caution(*at) >= Caution::Isolated {
+                continue;
+            }
+            let service = self.rules_of(&job.flow).service.clone();
+            if let Some(capacity) = self.pass.capacities.get_mut(&service) {
                 capacity.is_delayed = true;
             }
         }
@@ -209,7 +206,7 @@
         if job.end.is_some() {
             return None;
         }
-        let rules = self.queues.get(&job.flow.queue)?;
+        let rules = self.rules_of(&job.flow);
         let step = job.step(at)?;
         if step.waiting == 0 || step.not_before > now || step.gang_stopping {
             return None;
@@ -235,10 +232,7 @@
         let Some(job) = self.jobs.get(&at.job) else {
             return;
         };
-        let queue = job.flow.queue.clone();
-        let Some(rules) = self.queues.get(&queue).cloned() else {
-            return;
-        };
+        let rules = Arc::clone(self.rules_of(&job.flow));
         let Some(step) = self.step(at) else { return };
         if step.spec.gang {
             if step.waiting < step.remaining {
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -509,7 +509,6 @@
     fn attempts(&self, at: StepId) -> u32 {
         self.jobs
             .get(&at.job)
-            .and_then(|job| self.queues.get(&job.flow.queue))
-            .map_or(1, |rules| rules.attempts.max(1))
+            .map_or(1, |job| self.rules_of(&job.flow).attempts.max(1))
     }
 }
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -187,10 +187,7 @@
         let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
             return false;
         };
-        let attempts = self
-            .queues
-            .get(&job.flow.queue)
-            .map_or(1, |rules| rules.attempts.max(1));
+        let attempts = self.rules_of(&job.flow).attempts.max(1);
         job.occurrences
             .iter()
             .flat_map(|occurrence| &occurrence.steps)
--- a/wigeongate-core/src/workflow/rules.rs
+++ b/wigeongate-core/src/workflow/rules.rs
@@ -1,12 +1,16 @@
 //! The parts of the operators' configuration that the scheduler uses.
 
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
 use crate::collections::{HashMap, HashSet};
 use crate::ids::{QueueId, TeamId, ZoneId};
 use crate::resources::Resources;
 use crate::time::Millis;
 
 /// The duration of an advice call and the validity of its tickets.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct AdviceCost {
     /// Fixed duration of each call, in milliseconds.
     pub call_ms: f64,
@@ -16,8 +20,9 @@
     pub valid: Millis,
 }
 
-/// Rules for the jobs of a queue.
-#[derive(Debug, Clone, Default, PartialEq)]
+/// Rules for the jobs of a queue. They are stored with each job; new fields need a new form of the
+/// stored job.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct QueueRules {
     /// The service whose executors run the tasks.
     pub service: String,
@@ -49,7 +54,7 @@
     /// Number of the version.
     pub version: u64,
     /// Rules of each queue.
-    pub queues: HashMap<QueueId, QueueRules>,
+    pub queues: HashMap<QueueId, Arc<QueueRules>>,
     /// Rules of each team.
     pub teams: HashMap<TeamId, TeamRules>,
     /// Availability zones in which nothing may start.
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -67,9 +67,6 @@
 pub struct WorkflowScheduler {
     pub(super) settings: WorkflowSettings,
     pub(super) rules: Arc<Rules>,
-    /// Rules of all queues, including those removed from the configuration: accepted jobs keep
-    /// theirs.
-    pub(super) queues: HashMap<QueueId, Arc<QueueRules>>,
     pub(super) hosts: HashMap<HostId, Host>,
     pub(super) jobs: HashMap<WorkflowId, Job>,
     /// Steps with waiting tasks that may start.
@@ -124,9 +121,6 @@
 
     /// Applies a version of the configuration.
     pub fn configure(&mut self, rules: Arc<Rules>) {
-        for (queue, rule) in &rules.queues {
-            self.queues.insert(queue.clone(), Arc::new(rule.clone()));
-        }
         self.rules = rules;
         self.dirty = true;
     }
@@ -180,12 +174,16 @@
     }
 
     /// Adds an accepted job and returns whether it is new; `age` is the time since its acceptance.
-    pub fn submit(&mut self, flow: Workflow, now: Millis, age: Millis) -> bool {
+    pub fn submit(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
         let id = flow.id;
         if self.jobs.contains_key(&id) {
             return false;
         }
-        let rules = self.queues.get(&flow.queue).cloned().unwrap_or_default();
+        let rules = Arc::clone(self.rules_of(&flow));
+        if flow.rules == rules {
+            // Jobs of a queue share one copy of its rules.
+            flow.rules = Arc::clone(&rules);
+        }
         let over_share = self.allowances.exceeds_share(&flow, &self.rules.teams);
         let job = Job {
             over_share,
@@ -282,6 +280,12 @@
         }
     }
 
+    /// Returns the rules of a job's queue: those in force, or those under which the job was accepted
+    /// if the configuration no longer has the queue.
+    pub(super) fn rules_of<'a>(&'a self, flow: &'a Workflow) -> &'a Arc<QueueRules> {
+        self.rules.queues.get(&flow.queue).unwrap_or(&flow.rules)
+    }
+
     /// Handles everything that is due by time alone; `wall_ms` is the wall clock in milliseconds
     /// since 1970.
     pub fn tick(&mut self, now: Millis, wall_ms: u64, out: &mut Vec<Action>) {
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, From};
 use serde::{Deserialize, Serialize};
 
+use super::rules::QueueRules;
 use crate::ids::{QueueId, TeamId};
 use crate::resources::Resources;
 use crate::time::Millis;
@@ -175,8 +176,9 @@
     }
 }
 
-/// An accepted job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// An accepted job. It carries all that an owner needs to run it to its end, and is stored in this
+/// form.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Workflow {
     /// Identifier of the job.
     pub id: WorkflowId,
@@ -188,4 +190,7 @@
     pub accepted: u64,
     /// The specification.
     pub spec: Arc<WorkflowSpec>,
+    /// The rules of the queue when the job was accepted. They apply once the configuration no longer
+    /// has the queue.
+    pub rules: Arc<QueueRules>,
 }
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -22,7 +22,7 @@
 fn scheduler(hosts: usize, gates: usize, busy: impl Fn(usize) -> u32) -> WorkflowScheduler {
     let mut rules = rules(3, Resources::UNBOUNDED);
     if let Some(rules) = rules.queues.get_mut(&queue()) {
-        rules.advice = Some(AdviceCost {
+        Arc::make_mut(rules).advice = Some(AdviceCost {
             call_ms: 100.0,
             host_ms: 1.0,
             valid: Millis(2_500),
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -1,8 +1,10 @@
 //! Tasks that crash the hosts that start them, and hosts that are lost for other reasons.
 
+use std::sync::Arc;
+
 use wigeongate_core::ids::{HostId, QueueId};
 use wigeongate_core::resources::Resources;
-use wigeongate_core::workflow::{QueueRules, StepSpec, Workflow, WorkflowStatus};
+use wigeongate_core::workflow::{StepSpec, Workflow, WorkflowStatus};
 
 use super::world::{Faults, World, flow, host, queue, rules, step};
 use super::{CORE, task};
@@ -202,8 +204,8 @@
     let hosts = (0..24).map(|at| host(at, 8 * CORE)).collect();
     let mut rules = rules(3, Resources::UNBOUNDED);
     let other = QueueId::from("proofs");
-    let base = rules.queues[&queue()].clone();
-    rules.queues.insert(other.clone(), QueueRules { ..base });
+    let base = Arc::clone(&rules.queues[&queue()]);
+    rules.queues.insert(other.clone(), base);
     let mut world = World::new(3, hosts, rules, Faults::default());
     world.run_for(100);
     let mut bad = 0;
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -6,6 +6,7 @@
 mod leases;
 mod limits;
 mod records;
+mod removed_queues;
 mod retention;
 mod world;
 
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -18,6 +18,9 @@
 /// Duration of a task lease, in milliseconds.
 pub const LEASE_MS: u64 = 3_000;
 
+/// The number of failures after which a task has failed, by the rules that jobs are accepted under.
+pub const ATTEMPTS: u32 = 3;
+
 /// Duration of one simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
 
@@ -190,21 +193,22 @@
     TeamId::from("branch")
 }
 
+fn queue_rules(attempts: u32) -> Arc<QueueRules> {
+    Arc::new(QueueRules {
+        service: "desk".to_owned(),
+        attempts,
+        stretch: 2.0,
+        target: Millis(500),
+        ..QueueRules::default()
+    })
+}
+
 pub fn rules(attempts: u32, maximum: Resources) -> Rules {
     let mut rules = Rules {
         version: 1,
         ..Rules::default()
     };
-    rules.queues.insert(
-        queue(),
-        QueueRules {
-            service: "desk".to_owned(),
-            attempts,
-            stretch: 2.0,
-            target: Millis(500),
-            ..QueueRules::default()
-        },
-    );
+    rules.queues.insert(queue(), queue_rules(attempts));
     rules.teams.insert(
         team(),
         TeamRules {
@@ -239,6 +243,7 @@
             steps,
             repeat,
         }),
+        rules: queue_rules(ATTEMPTS),
     }
 }
 
@@ -338,6 +343,12 @@
             .insert((self.now + delay, self.sent), (epoch, message));
     }
 
+    /// Applies a version of the configuration.
+    pub fn configure(&mut self, rules: Rules) {
+        self.rules = Arc::new(rules);
+        self.scheduler.configure(Arc::clone(&self.rules));
+    }
+
     /// Stores a job and submits it to the owner.
     pub fn submit(&mut self, flow: Workflow) {
         self.flows.push(flow.clone());
@@ -682,7 +693,8 @@
                     .push(format!("{}: {task} starts before step {before}", self.now));
             }
         }
-        let attempts = self.rules.queues[&queue()].attempts as usize;
+        let in_force = self.rules.queues.get(&queue());
+        let attempts = in_force.map_or(ATTEMPTS, |rules| rules.attempts) as usize;
         let failures = if spec.gang {
             self.gang_failed.get(&task.step).map_or(0, BTreeSet::len)
         } else {
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -155,8 +155,10 @@
                 return empty_reply(StatusCode::BAD_REQUEST);
             }
         };
+        let rules = admitted.manifest.rules.queues.get(&admitted.queue);
         let flow = Workflow {
             id,
+            rules: rules.cloned().unwrap_or_default(),
             queue: admitted.queue,
             team: admitted.team,
             accepted: wall_ms(),
--- a/wigeongate/src/entry/records.rs
+++ b/wigeongate/src/entry/records.rs
@@ -1,10 +1,14 @@
 //! The keys and values that the gates keep in the store.
 
+use std::sync::Arc;
+
 use eyre::{Result, WrapErr};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wigeongate_core::ids::GateId;
-use wigeongate_core::workflow::{Record, StoredJob, WorkflowId};
+use wigeongate_core::ids::{GateId, QueueId, TeamId};
+use wigeongate_core::workflow::{
+    QueueRules, Record, StoredJob, Workflow, WorkflowId, WorkflowSpec,
+};
 use wigeongate_platform::store::Item;
 
 /// The key of the owner's record, the owner key.
@@ -54,10 +58,43 @@
     postcard::to_stdvec(value).unwrap_or_default()
 }
 
+/// A job as stored by versions that did not store the rules of its queue: the fields of
+/// [`Workflow`] up to `rules`.
+#[derive(Debug, Deserialize)]
+struct JobWithoutRules {
+    id: WorkflowId,
+    queue: QueueId,
+    team: Option<TeamId>,
+    accepted: u64,
+    spec: Arc<WorkflowSpec>,
+}
+
+impl From<JobWithoutRules> for Workflow {
+    fn from(job: JobWithoutRules) -> Self {
+        // Without the configuration's rules it starts nowhere and is never given up.
+        let rules = QueueRules {
+            attempts: u32::MAX,
+            ..QueueRules::default()
+        };
+        Self {
+            id: job.id,
+            queue: job.queue,
+            team: job.team,
+            accepted: job.accepted,
+            spec: job.spec,
+            rules: Arc::new(rules),
+        }
+    }
+}
+
 /// Decodes the job of an item in the store.
 pub fn decode_job(item: &Item) -> Result<StoredJob> {
+    let flow = decode(&item.key, &item.value).or_else(|error| {
+        let older: Result<JobWithoutRules> = decode(&item.key, &item.value);
+        older.map(Workflow::from).map_err(|_| error)
+    })?;
     Ok(StoredJob {
-        flow: decode(&item.key, &item.value)?,
+        flow,
         revision: item.revision,
     })
 }
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod platform;
 mod retention;
+mod routes;
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
@@ -179,6 +180,18 @@
     (platform, all)
 }
 
+/// Waits until one of the gates is the owner, and returns its position.
+async fn wait_for_owner(platform: &Platform, gates: usize) -> usize {
+    wait_until("a gate is the owner", async || {
+        let is_owner = |at: &usize| {
+            let name = format!("gate-{at}");
+            platform.store.contains("wigeongate/owner", &name)
+        };
+        (0..gates).find(is_owner)
+    })
+    .await
+}
+
 /// A request to a gate and the status that it gets.
 struct Case {
     name: &'static str,
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -146,9 +146,14 @@
 
     /// Writes a key without a lease, as operators and executors do.
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().into_bytes());
+    }
+
+    /// Writes any value to a key without a lease.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) {
         let mut data = locked(&self.data);
         data.revision += 1;
-        data.put(key, value.to_string().into_bytes(), 0);
+        data.put(key, value, 0);
         drop(data);
         self.changed.notify_waiters();
     }
@@ -162,6 +167,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns whether the value of a key contains a text.
+    pub fn contains(&self, key: &str, text: &str) -> bool {
+        let data = locked(&self.data);
+        let value = data.entries.get(key).map(|entry| &entry.value);
+        value.is_some_and(|value| {
+            value
+                .windows(text.len())
+                .any(|part| part == text.as_bytes())
+        })
+    }
+
     /// Returns the number of keys with a prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let data = locked(&self.data);
@@ -359,8 +375,8 @@
 struct ExecutorState {
     /// The highest epoch of a call.
     fence: u64,
-    /// When each run ends, by its task and number.
-    running: BTreeMap<(String, u64), Instant>,
+    /// When and how each run ends, by its task and number.
+    running: BTreeMap<(String, u64), (Instant, &'static str)>,
     /// The highest number of a run, by task, that may not start any more.
     refused: HashMap<String, u64>,
     /// The ended runs that no call has acknowledged: number of the end, task, run and cause.
@@ -370,7 +386,8 @@
     lease_deadline: u64,
 }
 
-/// An executor; the command of a task is the time in milliseconds that it runs.
+/// An executor; the command of a task is the time in milliseconds that it runs, and `fail` after it
+/// lets its first run fail.
 #[derive(Debug)]
 pub struct Executor {
     id: String,
@@ -393,11 +410,11 @@
         let due: Vec<_> = state
             .running
             .iter()
-            .filter(|(_, until)| is_expired || **until <= Instant::now())
-            .map(|(key, until)| (key.clone(), *until <= Instant::now()))
+            .filter(|(_, (until, _))| is_expired || *until <= Instant::now())
+            .map(|(key, (until, how))| (key.clone(), *until <= Instant::now(), *how))
             .collect();
-        for ((task, run), done) in due {
-            state.end(task, run, if done { "done" } else { "lapsed" });
+        for ((task, run), is_over, how) in due {
+            state.end(task, run, if is_over { how } else { "lapsed" });
         }
     }
 
@@ -434,7 +451,9 @@
     fn start(&self, body: &Value) -> Reply {
         let task = body["task"].as_str().expect("a task").to_owned();
         let run = body["run"].as_u64().expect("a run");
-        let run_ms = body["spec"].as_str().and_then(|text| text.parse().ok());
+        let mut command = body["spec"].as_str().unwrap_or_default().split(' ');
+        let run_ms = command.next().and_then(|text| text.parse().ok());
+        let is_failing = run == 1 && command.next() == Some("fail");
         let mut state = locked(&self.state);
         let clock = self.clock();
         let reason = if body["deadline_ms"]
@@ -451,7 +470,8 @@
             return reply(409, &json!({ "clock_ms": clock, "reason": reason }));
         }
         let until = Instant::now() + Duration::from_millis(run_ms.unwrap_or(100));
-        if state.running.insert((task.clone(), run), until).is_none() {
+        let end = (until, if is_failing { "failed" } else { "done" });
+        if state.running.insert((task.clone(), run), end).is_none() {
             locked(&self.started).push(StartedRun {
                 task,
                 run,
@@ -614,15 +634,24 @@
 
     /// Writes a configuration with one queue, and one team with these keys.
     pub fn configure(&self, version: u64, keys: &[&str]) {
+        self.configure_routes(version, keys, &["q"]);
+    }
+
+    /// Writes a configuration with a route to each of these queues, and one team with these keys.
+    pub fn configure_routes(&self, version: u64, keys: &[&str], queues: &[&str]) {
+        let route = |queue: &&str| {
+            json!({
+                "name": queue, "host": "desk.example", "prefix": format!("/{queue}/"),
+                "service": "desk", "kind": "unsafe", "priority": 1, "max_attempts": 3,
+                "stretch": 2.0, "target_latency_ms": 500, "public": false,
+            })
+        };
+        let routes: Vec<Value> = queues.iter().map(route).collect();
         self.store.put(
             "op/config",
             &json!({
                 "version": version,
-                "routes": [{
-                    "name": "q", "host": "desk.example", "prefix": "/q/", "service": "desk",
-                    "kind": "unsafe", "priority": 1, "max_attempts": 3, "stretch": 2.0,
-                    "target_latency_ms": 500, "public": false,
-                }],
+                "routes": routes,
                 "services": [{ "name": "desk", "health_path": "/health" }],
                 "limits": { "max_body_bytes": 10_000 },
                 "tenants": [{
