Move the cursor past accepted jobs once the owner has added them

Cause: the owner adds no job until its lease is renewed. The poll of the store that found such a job had moved its cursor when it read the change; the owner dropped the job, and the gate that had accepted it counts on that poll.

Change: the owner answers whether it has added the jobs, and the cursor moves after that; otherwise the same changes are sent again a second later. The revision up to which all jobs were added follows the same cursor.

Evidence: the new test refuses renewals around the acceptance, so that the order of events is always the same. Why it works: a job is either added or read again by the same owner, and another owner reads all jobs when it starts.

--- a/wigeongate-core/src/workflow/intake.rs
+++ b/wigeongate-core/src/workflow/intake.rs
@@ -59,4 +59,9 @@
         scheduler.submit(job.flow, now, age);
         Submission::Added
     }
+
+    /// Records that every job that was stored up to a revision has been added.
+    pub fn complete(&mut self, revision: u64) {
+        self.complete = self.complete.max(revision);
+    }
 }
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
-use tracing::warn;
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
 use wigeongate_core::workflow::StoredJob;
 use wigeongate_platform::store::{Change, Item, StoreError};
 
@@ -15,7 +15,8 @@
 /// The time between polls of the store for accepted jobs, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 1_000;
 
-/// Sends the owner the jobs that were stored after a revision, until the owner has ended.
+/// Sends the owner the jobs that were stored after a revision, until the owner has ended. Jobs that
+/// the owner does not add are read and sent again.
 pub async fn follow(
     shared: Arc<Shared>,
     events: mpsc::UnboundedSender<OwnerEvent>,
@@ -30,11 +31,26 @@
                 continue;
             }
         };
-        after = after.max(revision);
+        if revision <= after {
+            continue;
+        }
         let jobs = decode_jobs(&items);
-        if !jobs.is_empty() && events.send(OwnerEvent::JobsFound(jobs)).is_err() {
+        let found = jobs.len();
+        let (answer, added) = oneshot::channel();
+        if events
+            .send(OwnerEvent::JobsFound(jobs, revision, answer))
+            .is_err()
+        {
             return;
         }
+        if added.await == Ok(true) {
+            after = revision;
+        } else {
+            info!(
+                found,
+                revision, "owner: the lease is not renewed yet; the jobs found are sent again."
+            );
+        }
     }
 }
 
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -63,8 +63,9 @@
     StopAnswered(HostId, (TaskName, u32), Millis),
     /// An advice call that named these hosts ended; `None` without an answer.
     AdviceAnswered(StepId, Vec<HostId>, Option<Advice>),
-    /// Accepted jobs were found in the store.
-    JobsFound(Vec<StoredJob>),
+    /// Accepted jobs were found in the store, complete up to a revision. The answer tells whether
+    /// they were added; if not, they have to be sent again.
+    JobsFound(Vec<StoredJob>, u64, oneshot::Sender<bool>),
     /// The removal of expired keys has ended; whether the store has confirmed it.
     RemovalAnswered(bool),
     /// The log is written up to the record with this number.
@@ -343,10 +344,16 @@
                 self.scheduler
                     .apply_advice(step, &hosts, advice.as_ref(), now);
             }
-            OwnerEvent::JobsFound(jobs) => {
-                for job in jobs {
-                    self.submit(job);
+            OwnerEvent::JobsFound(jobs, revision, answer) => {
+                let is_current = self.lease_current.load(Ordering::Relaxed);
+                if is_current {
+                    for job in jobs {
+                        self.add_job(job);
+                    }
+                    self.intake.complete(revision);
                 }
+                // Fails only when the task that found the jobs has ended.
+                let _ = answer.send(is_current);
             }
             OwnerEvent::RemovalAnswered(is_confirmed) => self.finish_removal(is_confirmed),
             OwnerEvent::LogWritten(number) => self.finish_write(number, actions),
@@ -355,12 +362,9 @@
         }
     }
 
-    /// Adds a job unless it is known or was removed.
-    fn submit(&mut self, job: StoredJob) -> PeerAnswer {
-        // After the end of the lease another owner may have started the job already.
-        if !self.lease_current.load(Ordering::Relaxed) {
-            return PeerAnswer::NotOwner;
-        }
+    /// Adds a job unless it is known or was removed. After the end of the lease no job may be added,
+    /// since another owner may have started it already.
+    fn add_job(&mut self, job: StoredJob) -> PeerAnswer {
         let (id, revision) = (job.flow.id, job.revision);
         let age = job_age(job.flow.accepted);
         let now = self.shared.now();
@@ -389,7 +393,10 @@
                 self.gates.record_greeting(gate, address, now);
                 PeerAnswer::Done
             }
-            PeerCall::Submit(job) => self.submit(*job),
+            PeerCall::Submit(job) if self.lease_current.load(Ordering::Relaxed) => {
+                self.add_job(*job)
+            }
+            PeerCall::Submit(_) => PeerAnswer::NotOwner,
             PeerCall::State(id) => PeerAnswer::State(self.scheduler.status(id)),
             PeerCall::Pending(queue) => {
                 PeerAnswer::Pending(u64::try_from(self.scheduler.queued_jobs(&queue)).unwrap_or(0))
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gates that run as separate processes against a simulated platform.
 
+mod outages;
 mod platform;
 mod retention;
 mod routes;
@@ -53,6 +54,15 @@
     }
 }
 
+/// Returns where a gate writes its log: a file in the folder `KEEP_LOGS`, if that is set.
+fn gate_output(name: &str) -> Stdio {
+    let Some(folder) = std::env::var_os("KEEP_LOGS") else {
+        return Stdio::null();
+    };
+    let file = PathBuf::from(folder).join(name);
+    Stdio::from(std::fs::File::create(file).expect("a log file"))
+}
+
 impl Gate {
     async fn start(platform: &Platform, name: &str) -> Self {
         Self::start_at(platform.address, name).await
@@ -79,7 +89,7 @@
         let process = Command::new(env!("CARGO_BIN_EXE_wigeongate"))
             .args(["--log-format", "json", "serve", "--settings"])
             .arg(&settings)
-            .stdout(Stdio::null())
+            .stdout(gate_output(&format!("{name}-{}.log", callers.port())))
             .spawn()
             .expect("the gate starts");
         let gate = Self {
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -16,6 +16,9 @@
 use warp::Filter;
 use warp::http::{Response, StatusCode};
 
+/// The boot of executors that have not restarted.
+pub const FIRST_BOOT: u64 = 7;
+
 type Reply = Response<Vec<u8>>;
 
 fn reply(status: u16, body: &Value) -> Reply {
@@ -121,6 +124,23 @@
     KeepsKeys,
     /// The same, and the store no longer has the changes of jobs.
     KeepsKeysWithoutHistory,
+    /// The store answers 503 to renewals of leases, which do not expire meanwhile.
+    RefusesRenewals,
+    /// The same, and the store no longer has the changes of jobs.
+    RefusesRenewalsWithoutHistory,
+}
+
+impl StoreFault {
+    fn refuses_renewals(self) -> bool {
+        matches!(
+            self,
+            Self::RefusesRenewals | Self::RefusesRenewalsWithoutHistory
+        )
+    }
+
+    fn pauses_leases(self) -> bool {
+        self == Self::KeepsLeases || self.refuses_renewals()
+    }
 }
 
 /// A run that an executor started.
@@ -140,8 +160,14 @@
 }
 
 impl Store {
+    /// Begins a fault, or ends one; leases that paused during it go on.
     pub fn set_fault(&self, fault: StoreFault) {
-        *locked(&self.fault) = fault;
+        let ended = std::mem::replace(&mut *locked(&self.fault), fault);
+        if ended.pauses_leases() {
+            for (until, ttl) in locked(&self.data).leases.values_mut() {
+                *until = Instant::now() + Duration::from_millis(*ttl);
+            }
+        }
     }
 
     /// Writes a key without a lease, as operators and executors do.
@@ -186,7 +212,7 @@
     }
 
     fn expire(&self) {
-        if *locked(&self.fault) != StoreFault::KeepsLeases {
+        if !locked(&self.fault).pauses_leases() {
             locked(&self.data).expire();
         }
     }
@@ -212,9 +238,16 @@
             return reply(503, &json!({}));
         }
         let is_job_watch = path == "/api/kv-watch" && query["prefix"].contains("/job/");
-        if fault == StoreFault::KeepsKeysWithoutHistory && is_job_watch {
+        let has_no_history = matches!(
+            fault,
+            StoreFault::KeepsKeysWithoutHistory | StoreFault::RefusesRenewalsWithoutHistory
+        );
+        if has_no_history && is_job_watch {
             return reply(410, &json!({}));
         }
+        if fault.refuses_renewals() && path.starts_with("/api/kv-keep/") {
+            return reply(503, &json!({}));
+        }
         match (method, path) {
             ("GET", "/api/kv-key") => self.get(&query),
             ("GET", "/api/kv-range") => self.range(&query),
@@ -391,15 +424,19 @@
 #[derive(Debug)]
 pub struct Executor {
     id: String,
+    /// When it started, in milliseconds since 1970; identifies the boot.
+    born: u64,
     created: Instant,
+    /// What its clock read then, in milliseconds.
+    clock_from: u64,
     state: Mutex<ExecutorState>,
     started: Arc<Mutex<Vec<StartedRun>>>,
-    unresponsive: Arc<AtomicBool>,
+    unresponsive: AtomicBool,
 }
 
 impl Executor {
     fn clock(&self) -> u64 {
-        1_000 + u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX)
+        self.clock_from + u64::try_from(self.created.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     /// Ends runs that are done, and all runs once their lease has ended.
@@ -515,7 +552,7 @@
             .collect();
         json!({
             "clock_ms": self.clock(),
-            "born": 7,
+            "born": self.born,
             "running": running,
             "ended": ended,
         })
@@ -538,7 +575,7 @@
     pub address: SocketAddr,
     pub started: Arc<Mutex<Vec<StartedRun>>>,
     servers: HashMap<String, JoinHandle<()>>,
-    unresponsive: HashMap<String, Arc<AtomicBool>>,
+    executors: HashMap<String, Arc<Executor>>,
 }
 
 impl Platform {
@@ -556,10 +593,12 @@
             address,
             started: Arc::default(),
             servers: HashMap::from([("store".to_owned(), server)]),
-            unresponsive: HashMap::new(),
+            executors: HashMap::new(),
         };
         for at in 0..executors {
-            platform.add_executor(&format!("w-{at}")).await;
+            platform
+                .add_executor(&format!("w-{at}"), FIRST_BOOT, 1_000)
+                .await;
         }
         platform
     }
@@ -582,16 +621,19 @@
         (address, refuses_calls)
     }
 
-    async fn add_executor(&mut self, id: &str) {
-        let unresponsive = Arc::new(AtomicBool::new(false));
+    /// Starts an executor; `born` identifies its boot, and its clock begins at `clock_from`
+    /// milliseconds.
+    pub async fn add_executor(&mut self, id: &str, born: u64, clock_from: u64) {
         let executor = Arc::new(Executor {
             id: id.to_owned(),
+            born,
             created: Instant::now(),
+            clock_from,
             state: Mutex::default(),
             started: Arc::clone(&self.started),
-            unresponsive: Arc::clone(&unresponsive),
+            unresponsive: AtomicBool::new(false),
         });
-        self.unresponsive.insert(id.to_owned(), unresponsive);
+        self.executors.insert(id.to_owned(), Arc::clone(&executor));
         let (address, server) = serve(move |_, path, _, body| {
             let executor = Arc::clone(&executor);
             async move {
@@ -608,7 +650,7 @@
                 "service": "desk", "address": address.to_string(), "zone": "a",
                 "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
                 "capacity": { "cpu": 8000, "mem_mb": 16000, "gpu": 0 },
-                "labels": ["kind-a", "rack-1"], "born": 7, "seq": 1,
+                "labels": ["kind-a", "rack-1"], "born": born, "seq": 1,
             }),
         );
         self.servers.insert(id.to_owned(), server);
@@ -616,13 +658,24 @@
 
     /// Ends an executor for good and removes it from the registry.
     pub fn end_executor(&mut self, id: &str) {
-        if let Some(unresponsive) = self.unresponsive.get(id) {
-            unresponsive.store(true, Ordering::Relaxed);
+        self.crash_executor(id);
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Ends an executor's process; the registry still lists it.
+    pub fn crash_executor(&mut self, id: &str) {
+        if let Some(executor) = self.executors.get(id) {
+            executor.unresponsive.store(true, Ordering::Relaxed);
         }
         if let Some(server) = self.servers.remove(id) {
             server.abort();
         }
-        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Returns whether an owner has polled an executor since it started.
+    pub fn is_polled(&self, id: &str) -> bool {
+        let executor = self.executors.get(id);
+        executor.is_some_and(|executor| locked(&executor.state).fence > 0)
     }
 
     /// Returns the runs of a job that executors started.
