Bind leases and acknowledged ends to the boot that they were measured on

Cause: the poll that first reached the new boot was planned with a deadline on the old boot's clock. Its answer reset the state of the lease and then confirmed that deadline on the new clock, which had begun at 0.

Change: a poll carries the boot that it was planned for, and only that boot confirms its deadline. The number of acknowledged ends moves into the same value, is reset with it and is not sent after a silence; a late answer of the earlier boot is ignored.

Why it works: no value of one boot is compared with the clock or the numbers of another.

--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -13,9 +13,19 @@
 /// The time added to a lease on the owner's side for the transit of an answer, in milliseconds.
 const TRANSIT_MS: u64 = 100;
 
-/// A poll that is about to be sent.
+/// The longest time that a call is under way, in milliseconds; its connection is closed after that.
+const MAX_CALL_MS: u64 = 2_400;
+
+/// A poll that is about to be sent. Its deadline and number only mean something to the boot for
+/// which it was planned; another one may still carry it out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Poll {
+    /// When it is sent, on the caller's clock.
+    pub sent: Millis,
+    /// The boot for which it was planned, in milliseconds since 1970; zero before the first answer.
+    pub boot_ms: u64,
+    /// The number of the last end that the executor may forget.
+    pub acknowledged: u64,
     /// The deadline to send, in milliseconds of the executor's clock; `None` leaves the leases as
     /// they are.
     pub deadline: Option<u64>,
@@ -23,7 +33,8 @@
     pub runs_until: Millis,
 }
 
-/// The last known state of an executor's clock and of the leases that it was given.
+/// The last known state of one boot of an executor: its clock, the leases that it was given and the
+/// ends that it may forget. Nothing is kept for another boot.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HostLease {
     /// The duration of a task lease.
@@ -40,6 +51,10 @@
     /// When the executor that answered last started, in milliseconds since 1970; identifies the
     /// boot.
     boot_ms: u64,
+    /// When the newest of the answered polls was sent.
+    newest_sent: Millis,
+    /// The number of the last end of this boot that the executor may forget.
+    acknowledged: u64,
     /// Whether the last poll got no answer. Leases are then not extended until the next answer, so
     /// that they end on a host that receives calls but whose answers are lost.
     unanswered: bool,
@@ -60,9 +75,19 @@
         self.clock_ms > 0
     }
 
-    /// Returns the boot that answered last, in milliseconds since 1970.
-    pub const fn boot_ms(&self) -> u64 {
-        self.boot_ms
+    /// Lets the executor forget the ends of a boot up to a number; returns false if another boot has
+    /// answered last.
+    pub fn acknowledge(&mut self, boot_ms: u64, number: u64) -> bool {
+        let is_current = self.boot_ms == boot_ms;
+        if is_current {
+            self.acknowledged = self.acknowledged.max(number);
+        }
+        is_current
+    }
+
+    /// Returns the number of the last end that the executor may forget.
+    pub const fn acknowledged(&self) -> u64 {
+        self.acknowledged
     }
 
     /// Returns the latest confirmed deadline on the executor's clock, in milliseconds; `None`
@@ -85,12 +110,22 @@
         };
         self.sent = self.sent.max(deadline.unwrap_or_default());
         Poll {
+            sent: now,
+            boot_ms: self.boot_ms,
+            // After a silence another boot may carry out the poll, with ends of its own.
+            acknowledged: if self.unanswered {
+                0
+            } else {
+                self.acknowledged
+            },
             deadline,
             runs_until: self.local(self.sent),
         }
     }
 
     /// Applies an answer that arrived at `now`; returns the time until which leases are confirmed.
+    ///
+    /// An answer of an earlier boot that arrives late changes nothing.
     pub fn record_answer(
         &mut self,
         poll: Poll,
@@ -99,14 +134,27 @@
         now: Millis,
     ) -> Millis {
         if self.boot_ms != boot_ms {
+            if self.has_answered() && poll.sent <= self.newest_sent {
+                return self.confirmed_until();
+            }
+            let is_restart = self.has_answered();
             *self = Self::new(self.lease);
+            if is_restart {
+                // Calls for the earlier boot may still reach this one, which shortens their deadlines
+                // to the longest lease.
+                self.sent = clock_ms + self.lease.0 + MAX_CALL_MS;
+            }
         }
         self.boot_ms = boot_ms;
+        self.newest_sent = self.newest_sent.max(poll.sent);
         self.unanswered = false;
         self.clock_ms = clock_ms;
         self.received = now;
-        self.confirmed = self.confirmed.max(poll.deadline.unwrap_or_default());
-        self.sent = self.sent.max(self.confirmed);
+        // A deadline on the clock of another boot says nothing of this one.
+        if poll.boot_ms == boot_ms {
+            self.confirmed = self.confirmed.max(poll.deadline.unwrap_or_default());
+            self.sent = self.sent.max(self.confirmed);
+        }
         if self.confirmed > 0 {
             return self.confirmed_until();
         }
--- a/wigeongate-core/tests/workflow/leases.rs
+++ b/wigeongate-core/tests/workflow/leases.rs
@@ -98,6 +98,80 @@
     }
 }
 
+/// A poll that was planned for the boot whose clock reads 600 s and more, and what becomes of it.
+struct RestartCase {
+    name: &'static str,
+    /// The polls sent at 3.0, 3.1 and 3.2 s: the boot that answers, its clock, and the time.
+    answers: &'static [(usize, u64, u64, u64)],
+    /// When the lease that the new boot was given ends at the latest.
+    confirmed_until: u64,
+    /// The deadline of a poll sent at 5 s, on the clock of the new boot.
+    deadline: u64,
+}
+
+/// Guards against review/5: the runs of a host that had restarted and was lost later were kept for as
+/// long as its earlier clock had come, ten minutes there.
+#[test]
+fn a_deadline_on_the_clock_of_an_earlier_boot_means_nothing_to_the_next() {
+    let cases = [
+        RestartCase {
+            name: "the new boot answers",
+            answers: &[(2, 2, 500, 4_000)],
+            confirmed_until: 4_000 + 6_126 + 100,
+            deadline: 500 + 1_000 + LEASE_MS,
+        },
+        RestartCase {
+            name: "the new boot answers two polls",
+            answers: &[(2, 2, 500, 4_000), (1, 2, 600, 4_100)],
+            confirmed_until: 4_100 + 6_126 + 100,
+            deadline: 600 + 900 + LEASE_MS,
+        },
+        RestartCase {
+            name: "an answer of the earlier boot is overtaken",
+            answers: &[(2, 2, 500, 4_000), (0, 1, 602_000, 4_050)],
+            confirmed_until: 4_000 + 6_126 + 100,
+            deadline: 500 + 1_000 + LEASE_MS,
+        },
+    ];
+    for case in cases {
+        let mut lease = HostLease::new(Millis(LEASE_MS));
+        for (sent, clock_ms) in [(1_000, 600_000), (2_000, 601_000)] {
+            let poll = lease.begin_poll(Millis(sent));
+            lease.record_answer(poll, 1, clock_ms, Millis(sent));
+        }
+        let polls = [3_000, 3_100, 3_200].map(|at| lease.begin_poll(Millis(at)));
+        for (poll, boot_ms, clock_ms, at) in case.answers {
+            let until = lease.record_answer(polls[*poll], *boot_ms, *clock_ms, Millis(*at));
+            assert!(until <= Millis(case.confirmed_until), "{}", case.name);
+        }
+        // No deadline of the new boot is confirmed yet, so that no start is sent.
+        assert_eq!(lease.deadline(), None, "{}", case.name);
+        let poll = lease.begin_poll(Millis(5_000));
+        assert_eq!(poll.deadline, Some(case.deadline), "{}", case.name);
+        // A call for the earlier boot may reach the new one until its timeout.
+        let latest = Millis(case.confirmed_until + 2_500);
+        assert!(poll.runs_until <= latest, "{}: {poll:?}", case.name);
+        let until = lease.record_answer(poll, 2, case.deadline - LEASE_MS, Millis(5_000));
+        assert_eq!(until, Millis(5_000 + 6_126 + 100), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_number_of_an_end_is_not_sent_to_another_boot() {
+    let mut lease = HostLease::new(Millis(LEASE_MS));
+    let poll = lease.begin_poll(Millis(1_000));
+    lease.record_answer(poll, 1, 600_000, Millis(1_000));
+    assert!(lease.acknowledge(1, 57));
+    assert_eq!(lease.begin_poll(Millis(2_000)).acknowledged, 57);
+    // The next answer may come from another boot, whose ends are numbered from 1 again.
+    lease.record_silence();
+    let poll = lease.begin_poll(Millis(3_000));
+    assert_eq!(poll.acknowledged, 0);
+    lease.record_answer(poll, 2, 500, Millis(3_000));
+    assert!(!lease.acknowledge(1, 58), "an end of the earlier boot");
+    assert_eq!(lease.begin_poll(Millis(3_010)).acknowledged, 0);
+}
+
 /// A scheduler with two hosts, one of which runs a task that was ordered and confirmed.
 struct Fleet {
     scheduler: WorkflowScheduler,
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -1,6 +1,6 @@
 //! The owner's connection to one executor: polls its runs and sends it a few orders at a time.
 
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -52,9 +52,7 @@
     executors: ExecutorClient,
     target: Mutex<Target>,
     lease: Mutex<HostLease>,
-    /// The number of the last end that is in the log, so that the executor may drop it.
-    acked_end: AtomicU64,
-    /// Wakes when `acked_end` may have grown.
+    /// Wakes when the executor may forget more ends, since they are in the log.
     acknowledged: Notify,
     /// Whether the newest poll was answered; each change is logged once.
     answering: AtomicBool,
@@ -104,7 +102,6 @@
                 epoch,
             }),
             lease: Mutex::new(HostLease::new(Millis(shared.settings.bounds.task_lease_ms))),
-            acked_end: AtomicU64::new(0),
             acknowledged: Notify::new(),
             answering: AtomicBool::new(false),
             orders_allowed,
@@ -137,8 +134,7 @@
     /// Acknowledges the ends up to a number, which the executor then drops; ignored unless the
     /// executor's last answer came from the same boot.
     pub fn acknowledge_ends(&self, boot_ms: u64, number: u64) {
-        if locked(&self.state.lease).boot_ms() == boot_ms {
-            self.state.acked_end.fetch_max(number, Ordering::Relaxed);
+        if locked(&self.state.lease).acknowledge(boot_ms, number) {
             self.state.acknowledged.notify_one();
         }
     }
@@ -201,7 +197,7 @@
     /// them again.
     async fn wait_acknowledged(&self, last: u64) {
         let written = async {
-            while self.acked_end.load(Ordering::Relaxed) < last {
+            while locked(&self.lease).acknowledged() < last {
                 self.acknowledged.notified().await;
             }
         };
@@ -225,7 +221,6 @@
         };
         // The executor may carry out the poll long before its answer arrives.
         self.send(OwnerEvent::PollSent(self.id.clone(), poll.runs_until));
-        let acked_end = self.acked_end.load(Ordering::Relaxed);
         let answer_ms = if has_answered {
             ANSWER_TIMEOUT_MS
         } else {
@@ -233,7 +228,13 @@
         };
         let report = self
             .executors
-            .poll(&self.target(), acked_end, poll.deadline, wait_ms, answer_ms)
+            .poll(
+                &self.target(),
+                poll.acknowledged,
+                poll.deadline,
+                wait_ms,
+                answer_ms,
+            )
             .await;
         let received = self.shared.now();
         match report {
@@ -243,13 +244,12 @@
                     info!(host = %self.id, boot_ms = report.boot_ms,
                         "hosts: the executor answers polls.");
                 }
-                let lease = {
-                    let mut lease = locked(&self.lease);
-                    if lease.boot_ms() != report.boot_ms {
-                        self.acked_end.store(0, Ordering::Relaxed);
-                    }
-                    lease.record_answer(poll, report.boot_ms, report.clock_ms, received)
-                };
+                let lease = locked(&self.lease).record_answer(
+                    poll,
+                    report.boot_ms,
+                    report.clock_ms,
+                    received,
+                );
                 self.send(OwnerEvent::HostReported(
                     self.id.clone(),
                     HostReport {
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod outages;
 mod platform;
+mod restarts;
 mod retention;
 mod routes;
 
