Start tasks only on views of the store that hosts have caught up with

Cause: hosts write their capacity with their heartbeat and cannot write while the store is away. A list read right after its return is young and still from before the outage.

Checked when starts are planned and when they are ordered.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -7,6 +7,7 @@
 mod advice_gates;
 mod allowance;
 mod crash;
+mod freshness;
 mod gang_advice;
 mod host;
 mod host_choice;
@@ -29,6 +30,7 @@
 
 pub use advice_gates::{AdviceGates, greeting_delay};
 pub use crash::Crash;
+pub use freshness::StoreContact;
 pub use intake::{Intake, StoredJob, Submission};
 pub use message::{
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -70,7 +70,7 @@
 impl WorkflowScheduler {
     /// Plans the start of all tasks that fit, if anything has changed since the last pass.
     pub fn place(&mut self, now: Millis, out: &mut Vec<Action>) {
-        if !self.dirty {
+        if !self.is_dirty() {
             return;
         }
         self.dirty = false;
--- a/wigeongate-core/src/workflow/planned_starts.rs
+++ b/wigeongate-core/src/workflow/planned_starts.rs
@@ -68,7 +68,7 @@
         let key = (plan.order.task, plan.order.run);
         let is_open = |host: &&Host| self.accepts_starts(host, now);
         let host = self.hosts.get(&plan.order.host).filter(is_open);
-        in_time && host.is_some_and(|host| host.has_room_for(key))
+        in_time && !self.is_stale && host.is_some_and(|host| host.has_room_for(key))
     }
 
     /// Puts the newest ticket into an order that needs one; returns whether it is still valid.
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -104,6 +104,8 @@
     pub(super) advice_gates: usize,
     /// Hosts that advice has allowed and hosts that it was asked about, for each queue.
     pub(super) advice_totals: HashMap<QueueId, (u32, u32)>,
+    /// Whether the views of the store that starts rest on are too old.
+    pub(super) is_stale: bool,
     /// Whether something has changed that may let tasks start.
     pub(super) dirty: bool,
     pub(super) pass: Pass,
@@ -130,9 +132,21 @@
         self.advice_gates = gates;
     }
 
+    /// Sets whether the views of the store that starts rest on are too old. No task starts while they
+    /// are.
+    pub const fn set_stale(&mut self, is_stale: bool) {
+        self.is_stale = is_stale;
+    }
+
     /// Returns whether something has changed that may let tasks start.
     pub const fn is_dirty(&self) -> bool {
-        self.dirty
+        self.dirty && !self.is_stale
+    }
+
+    /// Returns the capacity of a host as last read, and how much of it is claimed.
+    pub fn load(&self, id: &HostId) -> Option<(Resources, Resources)> {
+        let host = self.hosts.get(id)?;
+        Some((host.entry.capacity, host.used))
     }
 
     /// Adds or updates a host that the registry lists.
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -3,6 +3,7 @@
 mod advice;
 mod capacity;
 mod crashes;
+mod freshness;
 mod leases;
 mod limits;
 mod records;
--- a/wigeongate/src/entry/metrics.rs
+++ b/wigeongate/src/entry/metrics.rs
@@ -20,9 +20,10 @@
 struct Series {
     counts: HashMap<(&'static str, String), u64>,
     durations: HashMap<(&'static str, String), Histogram<u64>>,
+    gauges: HashMap<&'static str, u64>,
 }
 
-/// The counters and durations of one gate, each by name and label.
+/// The gauges, counters and durations of one gate; the latter two by name and label.
 #[derive(Debug, Default)]
 pub struct EntryMetrics(Mutex<Series>);
 
@@ -41,6 +42,11 @@
         *series.counts.entry((name, label.to_owned())).or_default() += 1;
     }
 
+    /// Sets a gauge.
+    pub fn set_gauge(&self, name: &'static str, value: u64) {
+        self.series().gauges.insert(name, value);
+    }
+
     /// Records a duration, kept in milliseconds, for a name and a label.
     pub fn record_duration(&self, name: &'static str, label: &str, duration: Millis) {
         let mut series = self.series();
@@ -57,10 +63,13 @@
         histogram.saturating_record(duration.0);
     }
 
-    /// Renders all counters and quantiles, one per line.
+    /// Renders all gauges, counters and quantiles, one per line.
     pub fn render(&self) -> String {
         let series = self.series();
         let mut output = String::new();
+        for (name, value) in &series.gauges {
+            let _ = writeln!(output, "wigeongate_{name} {value}");
+        }
         for ((name, label), count) in &series.counts {
             let _ = writeln!(output, "wigeongate_{name}{{of=\"{label}\"}} {count}");
         }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -51,6 +51,8 @@
     ConfigurationChanged,
     /// The complete list of registered executors.
     HostsListed(Vec<HostEntry>),
+    /// The list of executors is current as of this time, at which its read was sent.
+    RegistryRead(Millis),
     /// An executor answered a poll.
     HostReported(HostId, HostReport),
     /// An executor gave no report to a poll.
@@ -117,6 +119,10 @@
     /// Cancellations by the number of their record; each is answered when the record is written.
     pending_cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     intake: Intake,
+    /// When the read was sent that confirmed the list of executors.
+    registry_read: Millis,
+    /// Whether that list or the configuration is too old for starts.
+    is_stale: bool,
     /// Whether another gate has become the owner; ends the loop.
     fenced: bool,
     /// Whether every listed host has answered at least once.
@@ -161,6 +167,8 @@
             log,
             pending_cancels: Vec::new(),
             intake: Intake::default(),
+            registry_read: Millis::ZERO,
+            is_stale: true,
             fenced: false,
             hosts_known: false,
             next_pass: Instant::now(),
@@ -206,6 +214,9 @@
                     while let Ok(event) = receiver.try_recv() {
                         self.handle_event(event, &mut actions);
                     }
+                    self.check_views();
+                    let age_ms = self.registry_age().0;
+                    self.shared.metrics.set_gauge("registry_age_ms", age_ms);
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.clean_up();
                 }
@@ -260,6 +271,28 @@
             && !self.log.is_behind()
     }
 
+    /// Lets no task start while the list of executors or the configuration is too old.
+    fn check_views(&mut self) {
+        let is_stale = !self.shared.may_start(self.registry_read);
+        if is_stale != self.is_stale {
+            self.is_stale = is_stale;
+            let registry_age_ms = self.registry_age().0;
+            let configuration_age_ms = self.shared.configuration_age().0;
+            info!(
+                is_stale,
+                registry_age_ms,
+                configuration_age_ms,
+                "owner: whether the views of the store are too old for starts has changed."
+            );
+        }
+        self.scheduler.set_stale(is_stale);
+    }
+
+    /// Returns the age of the list of executors.
+    fn registry_age(&self) -> Millis {
+        self.shared.now().since(self.registry_read)
+    }
+
     /// Applies the configuration of this gate to the scheduler.
     fn configure(&mut self) {
         if let Some(manifest) = (**self.shared.manifest.load()).clone() {
@@ -318,10 +351,12 @@
 
     fn handle_event(&mut self, event: OwnerEvent, actions: &mut Vec<Action>) {
         let now = self.shared.now();
+        self.check_views();
         match event {
             OwnerEvent::Call(call, answer) => self.answer(call, answer, actions),
             OwnerEvent::ConfigurationChanged => self.configure(),
             OwnerEvent::HostsListed(list) => self.update_hosts(list),
+            OwnerEvent::RegistryRead(sent) => self.registry_read = self.registry_read.max(sent),
             OwnerEvent::HostReported(host, report) => {
                 self.log_ended_runs(&host, &report);
                 self.scheduler.apply_report(&host, &report, now, actions);
@@ -469,8 +504,10 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(order) => {
+                let (capacity, used) = self.scheduler.load(&order.host).unwrap_or_default();
                 info!(task = %order.task, run = order.run, host = %order.host,
-                    epoch = self.epoch, "owner: ordering a start.");
+                    epoch = self.epoch, registry_age_ms = self.registry_age().0,
+                    cpu = capacity.cpu, used_cpu = used.cpu, "owner: ordering a start.");
                 self.start_times.insert(order.task, self.shared.now());
                 if let Some(link) = self.links.get(&order.host) {
                     link.start(order);
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -73,7 +73,8 @@
     /// Creates the state of a gate that has no configuration and knows no owner yet.
     pub fn new(settings: EntrySettings) -> Self {
         let http = HttpClient::default();
-        let store = Store::new(http.clone(), settings.store.to_string());
+        let clock = || BootClock.now();
+        let store = Store::new(http.clone(), settings.store.to_string(), clock);
         Self {
             settings,
             http,
@@ -100,6 +101,15 @@
         self.confirmed_ms.fetch_max(sent.0, Ordering::Relaxed);
     }
 
+    /// Returns whether starts may rest on the configuration in force and on a view of the registry
+    /// whose read was sent at `registry_read`.
+    pub fn may_start(&self, registry_read: Millis) -> bool {
+        let configuration_read = Millis(self.confirmed_ms.load(Ordering::Relaxed));
+        let now = self.now();
+        let contact = self.store.contact();
+        contact.is_fresh(registry_read, now) && contact.is_fresh(configuration_read, now)
+    }
+
     /// Returns the time since the configuration in force was last confirmed as the newest one.
     pub fn configuration_age(&self) -> Millis {
         self.now()
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -114,6 +114,8 @@
     None,
     /// The store answers every call with 503.
     Busy,
+    /// The same, and leases do not expire meanwhile.
+    BusyAndKeepsLeases,
     /// The store carries out writes of jobs without answering them.
     DropsJobAnswers,
     /// Leases never expire.
@@ -139,7 +141,7 @@
     }
 
     fn pauses_leases(self) -> bool {
-        self == Self::KeepsLeases || self.refuses_renewals()
+        matches!(self, Self::KeepsLeases | Self::BusyAndKeepsLeases) || self.refuses_renewals()
     }
 }
 
@@ -219,7 +221,7 @@
 
     async fn answer(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Reply {
         let fault = *locked(&self.fault);
-        if fault == StoreFault::Busy {
+        if matches!(fault, StoreFault::Busy | StoreFault::BusyAndKeepsLeases) {
             return reply(503, &json!({}));
         }
         let is_job_call = path == "/api/kv-key" || String::from_utf8_lossy(body).contains("/job/");
@@ -576,6 +578,8 @@
     pub started: Arc<Mutex<Vec<StartedRun>>>,
     servers: HashMap<String, JoinHandle<()>>,
     executors: HashMap<String, Arc<Executor>>,
+    /// The entries of the executors in the registry.
+    entries: HashMap<String, Value>,
 }
 
 impl Platform {
@@ -594,6 +598,7 @@
             started: Arc::default(),
             servers: HashMap::from([("store".to_owned(), server)]),
             executors: HashMap::new(),
+            entries: HashMap::new(),
         };
         for at in 0..executors {
             platform
@@ -644,18 +649,24 @@
             }
         })
         .await;
-        self.store.put(
-            &format!("servers/{id}"),
-            &json!({
-                "service": "desk", "address": address.to_string(), "zone": "a",
-                "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-                "capacity": { "cpu": 8000, "mem_mb": 16000, "gpu": 0 },
-                "labels": ["kind-a", "rack-1"], "born": born, "seq": 1,
-            }),
-        );
+        let entry = json!({
+            "service": "desk", "address": address.to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+            "capacity": { "cpu": 8000, "mem_mb": 16000, "gpu": 0 },
+            "labels": ["kind-a", "rack-1"], "born": born, "seq": 1,
+        });
+        self.store.put(&format!("servers/{id}"), &entry);
+        self.entries.insert(id.to_owned(), entry);
         self.servers.insert(id.to_owned(), server);
     }
 
+    /// Lets an executor write that its capacity has changed to `cpu` thousandths of a core.
+    pub fn resize_executor(&mut self, id: &str, cpu: u64) {
+        let entry = self.entries.get_mut(id).expect("the executor is known");
+        entry["capacity"]["cpu"] = json!(cpu);
+        self.store.put(&format!("servers/{id}"), entry);
+    }
+
     /// Ends an executor for good and removes it from the registry.
     pub fn end_executor(&mut self, id: &str) {
         self.crash_executor(id);
