Bound the task leases of a cut owner by the time that the next one waits

Cause: a cut owner extended leases for 7.2 s after its last renewal, so that they lasted for up to 13.2 s, and the next owner, 1.2 s after that renewal, waited 6.5 s. An ownership that was removed early could still be renewed.

Change: one rule, `Tenure`, gives both sides their bound; polls extend no lease beyond it. An ownership is removed by ending its lease.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -27,6 +27,7 @@
 mod scheduler;
 mod spec;
 mod takeover;
+mod tenure;
 
 pub use advice_gates::{AdviceGates, greeting_delay};
 pub use crash::Crash;
@@ -42,6 +43,7 @@
 pub use scheduler::{WorkflowScheduler, WorkflowSettings};
 pub use spec::{Repeat, StepId, StepSpec, TaskName, Workflow, WorkflowId, WorkflowSpec};
 pub use takeover::takeover_wait;
+pub use tenure::Tenure;
 
 pub use self::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
 pub use self::host::HostEntry;
--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -101,12 +101,16 @@
         self.local(self.confirmed)
     }
 
-    /// Plans a poll that is sent at `now`. Its deadline counts as sent from here on.
-    pub fn begin_poll(&mut self, now: Millis) -> Poll {
+    /// Plans a poll that is sent at `now`. Its deadline counts as sent from here on; a lease ends at
+    /// `last_grant` at the latest.
+    pub fn begin_poll(&mut self, now: Millis, last_grant: Millis) -> Poll {
+        let lease = self.lease.0.min(last_grant.since(now).0);
+        let extended = self.clock_ms + now.since(self.received).0 + lease;
         let deadline = match (self.has_answered(), self.unanswered) {
             (false, _) => None,
             (true, true) => self.deadline(),
-            (true, false) => Some(self.clock_ms + now.since(self.received).0 + self.lease.0),
+            (true, false) if lease == 0 => self.deadline(),
+            (true, false) => Some(extended.max(self.confirmed)),
         };
         self.sent = self.sent.max(deadline.unwrap_or_default());
         Poll {
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -34,8 +34,8 @@
     /// The epoch of this ownership, from 1. Runs of inherited tasks get numbers above those that
     /// any earlier owner used.
     pub epoch: u64,
-    /// The longest time that a task runs without a call to its executor, by the local clock.
-    pub task_lease: Millis,
+    /// How long after the takeover runs may go on that earlier owners started on a silent host.
+    pub inherited_lease: Millis,
     /// How long the status of a job is kept after its end.
     pub retention: Millis,
 }
@@ -44,7 +44,7 @@
     fn default() -> Self {
         Self {
             epoch: 1,
-            task_lease: Millis(6_400),
+            inherited_lease: Millis(6_400),
             retention: Millis::from_secs(150),
         }
     }
@@ -341,7 +341,7 @@
                 } else {
                     // Earlier owners may have granted leases that are not known here.
                     host.runs_until
-                        .max(self.took_over + self.settings.task_lease)
+                        .max(self.took_over + self.settings.inherited_lease)
                 };
                 (host.answered || !host.claims.is_empty()) && runs_until < now
             })
--- a/wigeongate-core/tests/workflow/leases.rs
+++ b/wigeongate-core/tests/workflow/leases.rs
@@ -15,6 +15,9 @@
 /// Duration of a task lease, in milliseconds.
 const LEASE_MS: u64 = 6_000;
 
+/// No bound on the leases that are granted.
+const UNLIMITED: Millis = Millis(u64::MAX);
+
 /// What happens to a poll after it was sent.
 enum Fate {
     Answered,
@@ -77,7 +80,7 @@
     for case in cases {
         let mut lease = HostLease::new(Millis(LEASE_MS));
         for (at, fate) in case.polls {
-            let poll = lease.begin_poll(Millis(at));
+            let poll = lease.begin_poll(Millis(at), UNLIMITED);
             match fate {
                 Fate::Answered => {
                     lease.record_answer(poll, 1, at + 1_000, Millis(at));
@@ -86,7 +89,7 @@
                 Fate::UnderWay => {}
             }
         }
-        let poll = lease.begin_poll(Millis(10_000));
+        let poll = lease.begin_poll(Millis(10_000), UNLIMITED);
         assert_eq!(poll.deadline, case.deadline, "{}", case.name);
         assert_eq!(poll.runs_until, Millis(case.runs_until), "{}", case.name);
         assert_eq!(
@@ -136,17 +139,17 @@
     for case in cases {
         let mut lease = HostLease::new(Millis(LEASE_MS));
         for (sent, clock_ms) in [(1_000, 600_000), (2_000, 601_000)] {
-            let poll = lease.begin_poll(Millis(sent));
+            let poll = lease.begin_poll(Millis(sent), UNLIMITED);
             lease.record_answer(poll, 1, clock_ms, Millis(sent));
         }
-        let polls = [3_000, 3_100, 3_200].map(|at| lease.begin_poll(Millis(at)));
+        let polls = [3_000, 3_100, 3_200].map(|at| lease.begin_poll(Millis(at), UNLIMITED));
         for (poll, boot_ms, clock_ms, at) in case.answers {
             let until = lease.record_answer(polls[*poll], *boot_ms, *clock_ms, Millis(*at));
             assert!(until <= Millis(case.confirmed_until), "{}", case.name);
         }
         // No deadline of the new boot is confirmed yet, so that no start is sent.
         assert_eq!(lease.deadline(), None, "{}", case.name);
-        let poll = lease.begin_poll(Millis(5_000));
+        let poll = lease.begin_poll(Millis(5_000), UNLIMITED);
         assert_eq!(poll.deadline, Some(case.deadline), "{}", case.name);
         // A call for the earlier boot may reach the new one until its timeout.
         let latest = Millis(case.confirmed_until + 2_500);
@@ -159,17 +162,17 @@
 #[test]
 fn a_number_of_an_end_is_not_sent_to_another_boot() {
     let mut lease = HostLease::new(Millis(LEASE_MS));
-    let poll = lease.begin_poll(Millis(1_000));
+    let poll = lease.begin_poll(Millis(1_000), UNLIMITED);
     lease.record_answer(poll, 1, 600_000, Millis(1_000));
     assert!(lease.acknowledge(1, 57));
-    assert_eq!(lease.begin_poll(Millis(2_000)).acknowledged, 57);
+    assert_eq!(lease.begin_poll(Millis(2_000), UNLIMITED).acknowledged, 57);
     // The next answer may come from another boot, whose ends are numbered from 1 again.
     lease.record_silence();
-    let poll = lease.begin_poll(Millis(3_000));
+    let poll = lease.begin_poll(Millis(3_000), UNLIMITED);
     assert_eq!(poll.acknowledged, 0);
     lease.record_answer(poll, 2, 500, Millis(3_000));
     assert!(!lease.acknowledge(1, 58), "an end of the earlier boot");
-    assert_eq!(lease.begin_poll(Millis(3_010)).acknowledged, 0);
+    assert_eq!(lease.begin_poll(Millis(3_010), UNLIMITED).acknowledged, 0);
 }
 
 /// A scheduler with two hosts, one of which runs a task that was ordered and confirmed.
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -9,6 +9,7 @@
 mod records;
 mod removed_queues;
 mod retention;
+mod tenure;
 mod world;
 
 use std::sync::Arc;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -305,7 +305,7 @@
         let now = Millis(self.now);
         let settings = WorkflowSettings {
             epoch: self.epoch,
-            task_lease: Millis(self.lease_ms + 300),
+            inherited_lease: Millis(self.lease_ms + 300),
             ..WorkflowSettings::default()
         };
         self.scheduler = WorkflowScheduler::new(settings, now);
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -1,6 +1,6 @@
 //! The owner's connection to one executor: polls its runs and sends it a few orders at a time.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -58,6 +58,8 @@
     answering: AtomicBool,
     /// Whether orders may be sent, which requires that the ownership is valid.
     orders_allowed: Arc<AtomicBool>,
+    /// The latest end of a task lease that may be granted, in milliseconds of the gate's clock.
+    last_grant: Arc<AtomicU64>,
     order_slots: Semaphore,
     events: mpsc::UnboundedSender<OwnerEvent>,
 }
@@ -90,6 +92,7 @@
         entry: &HostEntry,
         epoch: u64,
         orders_allowed: Arc<AtomicBool>,
+        last_grant: Arc<AtomicU64>,
         events: mpsc::UnboundedSender<OwnerEvent>,
     ) -> Self {
         let state = Arc::new(LinkState {
@@ -105,6 +108,7 @@
             acknowledged: Notify::new(),
             answering: AtomicBool::new(false),
             orders_allowed,
+            last_grant,
             order_slots: Semaphore::new(MAX_PARALLEL_ORDERS),
             events,
         });
@@ -187,12 +191,26 @@
                     } else {
                         POLL_WAIT_MS
                     };
+                    if wait_ms == 0 && self.is_limited() {
+                        // Only a renewal of the ownership lets the next poll extend the leases.
+                        sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                    }
                 }
                 Err(delay_ms) => sleep(Duration::from_millis(delay_ms)).await,
             }
         }
     }
 
+    fn last_grant(&self) -> Millis {
+        Millis(self.last_grant.load(Ordering::Relaxed))
+    }
+
+    /// Returns whether a full lease can no longer be granted.
+    fn is_limited(&self) -> bool {
+        let task_lease_ms = self.shared.settings.bounds.task_lease_ms;
+        self.last_grant().since(self.shared.now()).0 < task_lease_ms
+    }
+
     /// Waits until the ends up to a number are acknowledged, so that the next answer does not list
     /// them again.
     async fn wait_acknowledged(&self, last: u64) {
@@ -217,7 +235,10 @@
         let sent = self.shared.now();
         let (poll, has_answered) = {
             let mut lease = locked(&self.lease);
-            (lease.begin_poll(sent), lease.has_answered())
+            (
+                lease.begin_poll(sent, self.last_grant()),
+                lease.has_answered(),
+            )
         };
         // The executor may carry out the poll long before its answer arrives.
         self.send(OwnerEvent::PollSent(self.id.clone(), poll.runs_until));
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -1,7 +1,7 @@
 //! The owner: feeds events to the scheduler and executes the actions that it decides on.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use eyre::Result;
@@ -22,6 +22,7 @@
 use super::hosts::HostLink;
 use super::job_watch;
 use super::log::Log;
+use super::ownership::Permits;
 use super::peers::{self, PeerAnswer, PeerCall};
 use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode};
 use super::registry;
@@ -110,6 +111,8 @@
     orders_allowed: Arc<AtomicBool>,
     /// Whether the ownership's lease is still running; jobs are added only then.
     lease_current: Arc<AtomicBool>,
+    /// The latest end of a task lease that may be granted, in milliseconds of the gate's clock.
+    last_grant: Arc<AtomicU64>,
     scheduler: WorkflowScheduler,
     links: HashMap<HostId, HostLink>,
     /// The gates through which the advice service can be called.
@@ -140,16 +143,14 @@
         advice_client: Arc<AdviceClient>,
         epoch: u64,
         revision: u64,
-        orders_allowed: Arc<AtomicBool>,
-        lease_current: Arc<AtomicBool>,
+        permits: &Permits,
     ) -> (Self, mpsc::UnboundedReceiver<OwnerEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
         let now = shared.now();
         let bounds = &shared.settings.bounds;
         let settings = WorkflowSettings {
             epoch,
-            // An executor's clock may be 2% slow, and calls take time.
-            task_lease: Millis(bounds.task_lease_ms * 103 / 100 + 300),
+            inherited_lease: permits.tenure.inherited_lease(),
             retention: Millis::from_secs(bounds.shown_s + 30),
         };
         let log = Log::new(Arc::clone(&shared), epoch, revision, events.clone());
@@ -159,8 +160,9 @@
             shared,
             advice_client,
             epoch,
-            orders_allowed,
-            lease_current,
+            orders_allowed: Arc::clone(&permits.orders_allowed),
+            lease_current: Arc::clone(&permits.lease_current),
+            last_grant: Arc::clone(&permits.last_grant),
             links: HashMap::default(),
             gates,
             events,
@@ -476,6 +478,7 @@
                     &entry,
                     self.epoch,
                     Arc::clone(&self.orders_allowed),
+                    Arc::clone(&self.last_grant),
                     self.events.clone(),
                 );
                 self.links.insert(entry.id.clone(), link);
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -1,7 +1,7 @@
 //! Follows which gate is the owner, and takes the ownership over when it is free.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail};
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{WorkflowId, takeover_wait};
+use wigeongate_core::workflow::{Tenure, WorkflowId, takeover_wait};
 use wigeongate_platform::http::CallError;
 use wigeongate_platform::store::{Change, Item, Txn, TxnOutcome};
 
@@ -27,7 +27,7 @@
 const RENEWAL_INTERVAL_MS: u64 = 300;
 
 /// How long an owner continues after the end of its lease while the store does not answer, in
-/// milliseconds. The leases of its tasks last as long.
+/// milliseconds. The task leases that it grants meanwhile are bounded by its [`Tenure`].
 const STORE_OUTAGE_GRACE_MS: u64 = 6_000;
 
 /// How long a watch waits for a change of the ownership, in milliseconds.
@@ -42,6 +42,35 @@
 /// The pause after each of these connections, in milliseconds.
 const PROBE_PAUSE_MS: u64 = 30;
 
+/// What an owner may do, by its last renewal.
+#[derive(Debug)]
+pub struct Permits {
+    /// The leases of the ownership and of its tasks.
+    pub tenure: Tenure,
+    /// Whether orders may be sent.
+    pub orders_allowed: Arc<AtomicBool>,
+    /// Whether the ownership's lease is still running.
+    pub lease_current: Arc<AtomicBool>,
+    /// The latest end of a task lease that may be granted, in milliseconds of the gate's clock.
+    pub last_grant: Arc<AtomicU64>,
+}
+
+impl Permits {
+    /// Creates the permits of an owner whose lease was granted by a call sent at `sent`.
+    fn new(task_lease: Millis, sent: Millis) -> Self {
+        let tenure = Tenure {
+            ttl: Millis(LEASE_TTL_MS),
+            task_lease,
+        };
+        Self {
+            orders_allowed: Arc::new(AtomicBool::new(true)),
+            lease_current: Arc::new(AtomicBool::new(true)),
+            last_grant: Arc::new(AtomicU64::new(tenure.last_grant(sent).0)),
+            tenure,
+        }
+    }
+}
+
 /// Follows the ownership and takes it over when it is free, until the process ends; a local owner
 /// ends when `release` is notified.
 pub async fn follow(shared: Arc<Shared>, advice_client: Arc<AdviceClient>, release: Arc<Notify>) {
@@ -105,7 +134,7 @@
                 epoch,
                 "ownership: an earlier process of this gate was the owner; removing it."
             );
-            remove_owner(shared, view.key_revision).await?;
+            remove_owner(shared, &view).await?;
             view = read_ownership(shared).await?;
             continue;
         }
@@ -116,7 +145,7 @@
                 if !shared.is_stopping() && is_refusing(shared, &owner.address).await {
                     info!(epoch, gate = %owner.gate,
                         "ownership: the owner refuses connections; removing its ownership.");
-                    remove_owner(shared, view.key_revision).await?;
+                    remove_owner(shared, &view).await?;
                 }
                 view = read_ownership(shared).await?;
             }
@@ -125,7 +154,7 @@
                 if yield_epoch == epoch && !shared.is_stopping() {
                     info!(epoch,
                         "ownership: the owner asked to be replaced; removing its ownership.");
-                    remove_owner(shared, view.key_revision).await?;
+                    remove_owner(shared, &view).await?;
                     view = read_ownership(shared).await?;
                 }
             }
@@ -140,6 +169,8 @@
     revision: u64,
     /// The last seen revision of the owner key; zero if the key was not seen.
     key_revision: u64,
+    /// The lease of the owner key then.
+    key_lease: u64,
 }
 
 impl OwnershipView {
@@ -149,6 +180,7 @@
             self.owner = match change {
                 Change::Put(item) => {
                     self.key_revision = item.revision;
+                    self.key_lease = item.lease;
                     decode_owner(item)
                 }
                 Change::Removed(_) => None,
@@ -163,6 +195,7 @@
         owner: items.first().and_then(decode_owner),
         revision,
         key_revision: items.first().map_or(0, |item| item.revision),
+        key_lease: items.first().map_or(0, |item| item.lease),
     })
 }
 
@@ -188,10 +221,15 @@
     true
 }
 
-/// Removes the ownership if the owner key is still at `revision`.
-async fn remove_owner(shared: &Shared, revision: u64) -> Result<()> {
+/// Removes an ownership by ending its lease, so that its owner cannot renew it any more. Another
+/// ownership has another lease.
+async fn remove_owner(shared: &Shared, view: &OwnershipView) -> Result<()> {
+    if view.key_lease > 0 {
+        shared.store.revoke_lease(view.key_lease).await?;
+        return Ok(());
+    }
     let txn = Txn {
-        expected: vec![(OWNER_KEY.to_owned(), revision)],
+        expected: vec![(OWNER_KEY.to_owned(), view.key_revision)],
         removes: vec![OWNER_KEY.to_owned()],
         ..Txn::default()
     };
@@ -246,23 +284,22 @@
         revision, "ownership: this gate is the owner now."
     );
     shared.owner.send_replace(Some(record.clone()));
-    let orders_allowed = Arc::new(AtomicBool::new(true));
-    let lease_current = Arc::new(AtomicBool::new(true));
+    let task_lease = Millis(shared.settings.bounds.task_lease_ms);
+    let permits = Permits::new(task_lease, sent);
     let (owner, events) = Owner::new(
         Arc::clone(shared),
         Arc::clone(advice_client),
         record.epoch,
         revision,
-        Arc::clone(&orders_allowed),
-        Arc::clone(&lease_current),
+        &permits,
     );
     shared.set_local_owner(Some(owner.handle()));
     let result = tokio::select! {
         result = owner.run(events) => result,
-        () = renew(shared, lease, sent, &orders_allowed, &lease_current) => Ok(()),
+        () = renew(shared, lease, sent, &permits) => Ok(()),
         () = release.notified() => Ok(()),
     };
-    orders_allowed.store(false, Ordering::Relaxed);
+    permits.orders_allowed.store(false, Ordering::Relaxed);
     shared.set_local_owner(None);
     shared.owner.send_replace(None);
     info!(
@@ -276,19 +313,17 @@
 }
 
 /// Renews the lease until it has ended or the store has not confirmed it for too long.
-async fn renew(
-    shared: &Shared,
-    lease: u64,
-    sent: Millis,
-    orders_allowed: &AtomicBool,
-    lease_current: &AtomicBool,
-) {
+async fn renew(shared: &Shared, lease: u64, sent: Millis, permits: &Permits) {
     let mut last_confirmed = sent;
     loop {
         sleep(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
         let sent = shared.now();
         match shared.store.renew_lease(lease).await {
-            Ok(true) => last_confirmed = sent,
+            Ok(true) => {
+                last_confirmed = sent;
+                let last_grant = permits.tenure.last_grant(sent);
+                permits.last_grant.store(last_grant.0, Ordering::Relaxed);
+            }
             Ok(false) => {
                 info!(
                     lease,
@@ -300,8 +335,10 @@
                 "ownership: renewing the lease failed; trying again."),
         }
         let silent = shared.now().since(last_confirmed).0;
-        lease_current.store(silent < LEASE_TTL_MS, Ordering::Relaxed);
-        let were_allowed = orders_allowed.swap(
+        permits
+            .lease_current
+            .store(silent < LEASE_TTL_MS, Ordering::Relaxed);
+        let were_allowed = permits.orders_allowed.swap(
             silent < LEASE_TTL_MS + STORE_OUTAGE_GRACE_MS,
             Ordering::Relaxed,
         );
