Tell a host that has shut down from a draining one that is cut off

Cause: announcement, missing registration and refused connection together counted as proof, and a cut produces all three.

Change: the registration has to be removed within 1.5 s of the first failed poll.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -118,6 +118,8 @@
     pub entry: HostEntry,
     /// Whether the registry lists it.
     pub listed: bool,
+    /// When it was seen that the registry no longer lists it; valid unless `listed`.
+    pub unlisted: Millis,
     /// Whether it has reported in this owner's epoch, so that its runs are known.
     pub answered: bool,
     /// The boot of the last report, in milliseconds since 1970.
@@ -162,6 +164,7 @@
         Self {
             entry,
             listed: true,
+            unlisted: Millis::ZERO,
             answered: false,
             boot_ms: 0,
             claims: HashMap::default(),
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -26,6 +26,11 @@
 /// The fewest hosts that count as a loss of a part of the fleet.
 const MIN_FLEET_GROUP: usize = 5;
 
+/// The longest time between the first failed poll of a host that exits and the removal of its
+/// registration, in milliseconds: half of the time after which the registration of a host that is
+/// cut off expires.
+const EXIT_MS: u64 = 1_500;
+
 /// The most crashes whose suspects are not cleared that are remembered.
 const MAX_ACCUSATIONS: usize = 64;
 
@@ -38,6 +43,15 @@
     pub ended: bool,
 }
 
+/// Returns whether a host whose polls fail since this time, and whose address refuses connections,
+/// has shut down. A cut refuses connections as well, and the registration of a host that is cut off
+/// expires some heartbeats later; a host that shuts down removes it as it exits.
+fn has_left(host: &Host, failing_since: Millis) -> bool {
+    let is_at_exit = host.unlisted + Millis(EXIT_MS) >= failing_since
+        && host.unlisted <= failing_since + Millis(EXIT_MS);
+    host.entry.draining && !host.listed && is_at_exit
+}
+
 impl WorkflowScheduler {
     /// Handles that a poll got no report. Until the next report the host gets no new work; a silent
     /// host keeps its runs, since it may only be cut off.
@@ -56,7 +70,8 @@
             ended: false,
         });
         failing.ended |= failure != PollFailure::NoAnswer;
-        let has_left = host.entry.draining && !host.listed;
+        let failing = *failing;
+        let has_left = has_left(host, failing.since);
         let proof = match failure {
             // Orders name the executor, so that its successor refuses those still under way.
             PollFailure::Replaced => Proof::Replaced,
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -163,9 +163,10 @@
     }
 
     /// Marks a host as no longer listed in the registry.
-    pub fn unlist_host(&mut self, id: &HostId) {
+    pub fn unlist_host(&mut self, id: &HostId, now: Millis) {
         if let Some(host) = self.hosts.get_mut(id) {
             host.listed = false;
+            host.unlisted = now;
         }
     }
 
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -182,6 +182,27 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against tasks that run twice because a draining host that was cut off, with refused
+/// connections, counted as one that had shut down.
+#[test]
+fn tasks_of_a_draining_host_that_is_cut_off_stay_there() {
+    let mut world = deployment(2);
+    let service = StepSpec {
+        long_running: true,
+        ..step(8, CORE)
+    };
+    world.submit(flow(7, vec![service], None));
+    world.run_for(1_000);
+    let cut = world.hosts_running(task(7, 0, 0))[0].clone();
+    world.cut_draining_host(&cut, 8_000);
+    assert_eq!(world.violations, Vec::<String>::new());
+    // Once the leases have expired there, the tasks start elsewhere.
+    world.run_for(LONG_LEASE_MS);
+    let away = (0..8).filter(|index| world.hosts_running(task(7, 0, *index)).is_empty());
+    assert_eq!(away.count(), 0);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 #[test]
 fn no_start_is_ordered_on_a_host_that_refuses_connections() {
     let mut world = deployment(2);
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -98,6 +98,25 @@
         self.set_reachable(id, true);
     }
 
+    /// Lets a host announce its shutdown and cuts it off; its polls are refused, its registration
+    /// expires, and it runs on.
+    pub fn cut_draining_host(&mut self, id: &HostId, ms: u64) {
+        let executor = self.executors.get_mut(id).expect("the host is known");
+        executor.entry.draining = true;
+        executor.reachable = false;
+        let entry = executor.entry.clone();
+        self.scheduler.list_host(entry, Millis(self.now));
+        self.send(UNLIST_MS, Message::Unlist(id.clone()));
+        let end = self.now + ms;
+        while self.now < end {
+            let (now, refused) = (Millis(self.now), PollFailure::Refused);
+            let mut actions = Vec::new();
+            self.scheduler.poll_failed(id, refused, now, &mut actions);
+            self.carry_out(actions);
+            self.run_for(50);
+        }
+    }
+
     /// Returns the identifiers of all jobs.
     pub fn submitted(&self) -> impl Iterator<Item = u64> {
         self.flows.iter().map(|flow| flow.id.0)
@@ -153,6 +172,6 @@
         if let Some(executor) = self.executors.get_mut(id) {
             executor.listed = false;
         }
-        self.scheduler.unlist_host(id);
+        self.scheduler.unlist_host(id, Millis(self.now));
     }
 }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -467,7 +467,7 @@
             .collect();
         for (id, draining) in gone {
             info!(host = %id, draining, "owner: the host is no longer listed.");
-            self.scheduler.unlist_host(&id);
+            self.scheduler.unlist_host(&id, now);
         }
         for entry in list {
             if let Some(link) = self.links.get(&entry.id) {
