Keep a cancelled job from being stored by a late write

Cause: "no such job" was answered from what the store held at that moment, while the write could still take effect.

Change: before 410 the job's key is written with an empty value under a lease of a minute, on the condition that it does not exist; the late write has the same condition and fails. A job handed in again meanwhile gets 503.

Cost: two calls of the store for each cancellation of a job that is not stored.

--- a/wigeongate/src/entry/accept.rs
+++ b/wigeongate/src/entry/accept.rs
@@ -12,7 +12,7 @@
 use wigeongate_core::workflow::{Workflow, WorkflowId};
 use wigeongate_platform::store::{MAX_TXN_KEYS, Txn, TxnOutcome};
 
-use super::records::{encode, job_key};
+use super::records::{encode, is_cancelled, job_key};
 use super::shared::Shared;
 
 /// The most jobs that wait to be stored; further ones are refused.
@@ -161,8 +161,17 @@
                 .filter(|item| item.revision > 0)
                 .map(|item| item.key.as_str())
                 .collect();
+            let cancelled: HashSet<&str> = items
+                .iter()
+                .filter(|item| item.revision > 0 && is_cancelled(item))
+                .map(|item| item.key.as_str())
+                .collect();
             for (flow, answer) in batch {
-                if known.contains(job_key(flow.id).as_str()) {
+                let key = job_key(flow.id);
+                if cancelled.contains(key.as_str()) {
+                    info!(job = %flow.id, "accept: job was cancelled before; it is refused.");
+                    let _ = answer.send(AcceptOutcome::Refused);
+                } else if known.contains(key.as_str()) {
                     info!(job = %flow.id, "accept: job was stored already.");
                     let _ = answer.send(AcceptOutcome::Duplicate);
                 } else if known.is_empty() {
@@ -199,7 +208,7 @@
         Duration::from_millis(LOOKUP_TIMEOUT_MS),
         shared.store.get(&key),
     );
-    let stored = matches!(lookup.await, Ok(Ok(Some(_))));
+    let stored = matches!(lookup.await, Ok(Ok(Some(item))) if !is_cancelled(&item));
     info!(job = %flow.id, stored, "accept: job looked up after a write without an answer.");
     let _ = answer.send(if stored {
         AcceptOutcome::Duplicate
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -14,12 +14,13 @@
 use wigeongate_core::workflow::{StoredJob, Workflow, WorkflowId, WorkflowStatus};
 use wigeongate_platform::job_api;
 use wigeongate_platform::manifest::Manifest;
+use wigeongate_platform::store::{Txn, TxnOutcome};
 
 use super::accept::{AcceptOutcome, Acceptor};
 use super::listen::Reply;
 use super::peers::{PeerAnswer, PeerCall, call_owner};
 use super::ready::empty_reply;
-use super::records::{decode_job, job_key};
+use super::records::{CANCELLED, decode_job, is_cancelled, job_key};
 use super::shared::Shared;
 use crate::clock::wall_ms;
 
@@ -29,6 +30,10 @@
 /// The delay after each of these calls that fails, in milliseconds.
 const RETRY_DELAY_MS: u64 = 200;
 
+/// How long a job that was cancelled before it was stored cannot be stored, in milliseconds. A write
+/// without an answer may be carried out seconds later.
+const CANCELLED_TTL_MS: u64 = 60_000;
+
 /// The `Retry-After` value for a caller that was not served, in seconds.
 const RETRY_AFTER_S: &str = "1";
 
@@ -233,9 +238,28 @@
     /// Reads a job from the store; `None` when it is not stored.
     async fn read_job(&self, id: WorkflowId) -> Result<Option<StoredJob>> {
         let item = self.shared.store.get(&job_key(id)).await?;
+        let item = item.filter(|item| !is_cancelled(item));
         item.as_ref().map(decode_job).transpose()
     }
 
+    /// Keeps a job that is not stored from being stored by a write that is still under way; returns
+    /// false if that write came first.
+    async fn prevent_storing(&self, id: WorkflowId) -> Result<bool> {
+        let key = job_key(id);
+        let store = &self.shared.store;
+        let lease = store.grant_lease(CANCELLED_TTL_MS).await?;
+        let txn = Txn {
+            expected: vec![(key.clone(), 0)],
+            puts: vec![(key, CANCELLED.to_vec(), lease)],
+            removes: Vec::new(),
+        };
+        Ok(match store.commit(&txn).await? {
+            TxnOutcome::Done(_) => true,
+            TxnOutcome::Conflict(items) => items.iter().any(is_cancelled),
+            TxnOutcome::LeaseEnded => false,
+        })
+    }
+
     /// Submits a job that the owner does not know and the store holds.
     async fn submit_stored(&self, job: StoredJob) -> Option<PeerAnswer> {
         self.call_owner_retrying(PeerCall::Submit(Box::new(job)))
@@ -250,7 +274,8 @@
         }
     }
 
-    /// Cancels a job that the owner does not know: reads it from the store and submits it first.
+    /// Cancels a job that the owner does not know: reads it from the store and submits it first. If it
+    /// is not stored, a write of it may still be under way.
     async fn cancel_stored(&self, id: WorkflowId) -> Reply {
         match self.read_job(id).await {
             Ok(Some(job)) => match self.submit_stored(job).await {
@@ -263,7 +288,10 @@
                 Some(PeerAnswer::Removed) => empty_reply(StatusCode::GONE),
                 _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
             },
-            Ok(None) => empty_reply(StatusCode::GONE),
+            Ok(None) => match self.prevent_storing(id).await {
+                Ok(true) => empty_reply(StatusCode::GONE),
+                Ok(false) | Err(_) => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+            },
             Err(_) => retry_later(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -9,7 +9,7 @@
 use wigeongate_platform::store::{Change, Item, StoreError};
 
 use super::owner::OwnerEvent;
-use super::records::{JOBS_PREFIX, decode_job};
+use super::records::{JOBS_PREFIX, decode_job, is_cancelled};
 use super::shared::Shared;
 
 /// The time between polls of the store for accepted jobs, in milliseconds.
@@ -72,7 +72,8 @@
 
 /// Decodes jobs; one that cannot be decoded is skipped.
 pub fn decode_jobs(items: &[Item]) -> Vec<StoredJob> {
-    let decoded = items.iter().filter_map(|item| {
+    let jobs = items.iter().filter(|item| !is_cancelled(item));
+    let decoded = jobs.filter_map(|item| {
         decode_job(item)
             .inspect_err(|error| {
                 warn!(
--- a/wigeongate/src/entry/records.rs
+++ b/wigeongate/src/entry/records.rs
@@ -87,6 +87,15 @@
     }
 }
 
+/// The value that takes the place of a job that was cancelled before it was stored, so that a write
+/// that is still under way has no effect.
+pub const CANCELLED: &[u8] = &[];
+
+/// Returns whether an item only keeps a cancelled job from being stored.
+pub fn is_cancelled(item: &Item) -> bool {
+    item.value == CANCELLED
+}
+
 /// Decodes the job of an item in the store.
 pub fn decode_job(item: &Item) -> Result<StoredJob> {
     let flow = decode(&item.key, &item.value).or_else(|error| {
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -1,5 +1,6 @@
 //! Tests of gates that run as separate processes against a simulated platform.
 
+mod cancels;
 mod capacity;
 mod outages;
 mod platform;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -16,6 +16,9 @@
 use warp::Filter;
 use warp::http::{Response, StatusCode};
 
+/// How late a delayed write is carried out.
+pub const WRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// The boot of executors that have not restarted.
 pub const FIRST_BOOT: u64 = 7;
 
@@ -118,6 +121,8 @@
     BusyAndKeepsLeases,
     /// The store carries out writes of jobs without answering them.
     DropsJobAnswers,
+    /// The store carries out writes of jobs a few seconds later, without answering them.
+    DelaysJobs,
     /// Leases never expire.
     KeepsLeases,
     /// The store neither carries out nor answers calls that concern jobs.
@@ -159,6 +164,8 @@
     data: Mutex<StoreData>,
     changed: Notify,
     fault: Mutex<StoreFault>,
+    /// Writes that are carried out later, with their times.
+    delayed: Mutex<Vec<(Instant, Value)>>,
 }
 
 impl Store {
@@ -230,6 +237,7 @@
             return reply(503, &json!({}));
         }
         self.expire();
+        self.commit_delayed();
         let query: HashMap<String, String> = parse_query(query);
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
         let keeps_keys = matches!(
@@ -254,6 +262,11 @@
             ("GET", "/api/kv-key") => self.get(&query),
             ("GET", "/api/kv-range") => self.range(&query),
             ("GET", "/api/kv-watch") => self.watch(&query).await,
+            ("POST", "/api/kv-txn") if fault == StoreFault::DelaysJobs && is_job_call => {
+                locked(&self.delayed).push((Instant::now() + WRITE_DELAY, body));
+                tokio::time::sleep(Duration::from_mins(1)).await;
+                reply(503, &json!({}))
+            }
             ("POST", "/api/kv-txn") => {
                 let answer = self.commit(&body);
                 if fault == StoreFault::DropsJobAnswers && body.to_string().contains("/job/") {
@@ -274,6 +287,15 @@
         }
     }
 
+    /// Carries out the delayed writes that are due.
+    fn commit_delayed(&self) {
+        let is_due = |(due, _): &mut (Instant, Value)| *due <= Instant::now();
+        let due: Vec<_> = locked(&self.delayed).extract_if(.., is_due).collect();
+        for (_, body) in due {
+            self.commit(&body);
+        }
+    }
+
     fn get(&self, query: &HashMap<String, String>) -> Reply {
         let data = locked(&self.data);
         let key = &query["key"];
