Answer a cancellation whose record is written at once

Cause: a cancellation waits for the write of its record, and waiting answers were looked at only after a write. The record of an ended job is written already, and an idle owner writes nothing.

Change: the answer is sent at once if the record is written.

--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -262,6 +262,11 @@
         });
     }
 
+    /// Returns whether a record has been written.
+    pub const fn is_written(&self, number: u64) -> bool {
+        number <= self.last_written
+    }
+
     /// Returns the number of the newest record.
     pub const fn last_record(&self) -> u64 {
         self.last_record
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -442,6 +442,11 @@
                 if !self.orders_allowed.load(Ordering::Relaxed) {
                     PeerAnswer::NotOwner
                 } else if let Some(number) = self.scheduler.cancel(id, now, actions) {
+                    if self.scheduler.is_written(number) {
+                        // Nothing may be written for a long time.
+                        let _ = answer.send(PeerAnswer::Cancelled(true));
+                        return;
+                    }
                     info!(job = %id, record = number,
                         "owner: job cancelled; the caller is answered when the record is written.");
                     self.pending_cancels.push((number, answer));
