Start nothing on a boot that the registry does not describe yet

Cause: the capacity and the labels of a host come from its entry in the registry, which may be of an earlier boot than the one that answers polls.

Change: a host gets no work while its entry and its answers name different boots; either may name none.

Measured: the new test fails without the check.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -210,7 +210,14 @@
     pub fn accepts_work(&self, now: Millis) -> bool {
         let held = self.lease > now + Millis(MIN_LEASE_MS);
         let sound = self.failing.is_none() && self.paused_until <= now;
-        self.listed && self.answered && held && sound && !self.entry.draining
+        self.listed && self.answered && held && sound && self.is_described() && !self.entry.draining
+    }
+
+    /// Returns whether the entry in the registry is of the boot that answers: another boot may have
+    /// another capacity and other labels. Either may not name its boot.
+    fn is_described(&self) -> bool {
+        let (listed, answering) = (self.entry.boot_ms, self.boot_ms);
+        listed == 0 || answering == 0 || listed == answering
     }
 
     /// Returns whether the host has ever reported to this owner.
--- a/wigeongate-core/tests/workflow/capacity.rs
+++ b/wigeongate-core/tests/workflow/capacity.rs
@@ -6,7 +6,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Ended, HostReport, RunOutcome, StepSpec, WorkflowScheduler, WorkflowSettings,
+    Action, Ended, HostEntry, HostReport, RunOutcome, StepSpec, WorkflowScheduler, WorkflowSettings,
 };
 
 use crate::world::{flow, host, rules, step};
@@ -158,3 +158,58 @@
     let released = |action: &&Action| matches!(action, Action::Released { .. });
     assert_eq!(actions.iter().filter(released).count(), 2);
 }
+
+/// The boot in the entry of the registry and the one that answers, and how many tasks start.
+struct BootCase {
+    name: &'static str,
+    listed: u64,
+    answering: u64,
+    starts: usize,
+}
+
+/// Guards against starts by the labels and the capacity of an earlier boot.
+#[test]
+fn no_task_starts_on_a_boot_that_the_registry_does_not_describe() {
+    let cases = [
+        BootCase {
+            name: "the entry is of the boot that answers",
+            listed: 2,
+            answering: 2,
+            starts: 1,
+        },
+        BootCase {
+            name: "the entry is of an earlier boot",
+            listed: 1,
+            answering: 2,
+            starts: 0,
+        },
+        BootCase {
+            name: "the entry names no boot",
+            listed: 0,
+            answering: 2,
+            starts: 1,
+        },
+    ];
+    for case in cases {
+        let now = Millis(10_000);
+        let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), now);
+        scheduler.configure(Arc::new(rules(3, Resources::UNBOUNDED)));
+        let entry = HostEntry {
+            boot_ms: case.listed,
+            ..host(0, 8 * CORE)
+        };
+        scheduler.list_host(entry, now);
+        let report = HostReport {
+            boot_ms: case.answering,
+            sent: now,
+            lease: now + Millis(3_000),
+            ..HostReport::default()
+        };
+        let mut actions = Vec::new();
+        scheduler.apply_report(&HostId::from("w-0"), &report, now, &mut actions);
+        let new = flow(2, vec![step(1, CORE)], None);
+        scheduler.submit(new, now, Millis::ZERO);
+        place(&mut scheduler, now, &mut actions);
+        assert_eq!(starts(&actions), case.starts, "{}", case.name);
+    }
+}
