Word the log lines of stale views as two states

Cause: reading the diff, one line with a flag had to be read twice, and a variable had the name of the function that it was set from.

Change: one line for each state, and the duration of a test in seconds.

--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -71,11 +71,11 @@
         });
         failing.ended |= failure != PollFailure::NoAnswer;
         let failing = *failing;
-        let has_left = has_left(host, failing.since);
+        let is_gone = has_left(host, failing.since);
         let proof = match failure {
             // Orders name the executor, so that its successor refuses those still under way.
             PollFailure::Replaced => Proof::Replaced,
-            PollFailure::Refused if has_left => Proof::Left,
+            PollFailure::Refused if is_gone => Proof::Left,
             PollFailure::Refused | PollFailure::NoAnswer => return,
         };
         host.answered = false;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -280,12 +280,19 @@
             self.is_stale = is_stale;
             let registry_age_ms = self.registry_age().0;
             let configuration_age_ms = self.shared.configuration_age().0;
-            info!(
-                is_stale,
-                registry_age_ms,
-                configuration_age_ms,
-                "owner: whether the views of the store are too old for starts has changed."
-            );
+            if is_stale {
+                info!(
+                    registry_age_ms,
+                    configuration_age_ms,
+                    "owner: the views of the store are stale; no task starts."
+                );
+            } else {
+                info!(
+                    registry_age_ms,
+                    configuration_age_ms,
+                    "owner: the views of the store are fresh; tasks may start."
+                );
+            }
         }
         self.scheduler.set_stale(is_stale);
     }
--- a/wigeongate/tests/entry/capacity.rs
+++ b/wigeongate/tests/entry/capacity.rs
@@ -12,7 +12,7 @@
 const OUTAGE: Duration = Duration::from_millis(3_500);
 
 /// How long after the return of the store the host writes that it has shrunk.
-const WRITE_DELAY: Duration = Duration::from_millis(1_000);
+const WRITE_DELAY: Duration = Duration::from_secs(1);
 
 /// What becomes of leases during the outage.
 struct Case {
