Log when an owner last renewed and until when its task leases last

Each side now says so in one line: the owner when its lease stops being renewed and when it ends (unrenewed_ms, last_grant_ms), the next one when it takes over (earlier, silent_runs_ms) and with each run that it counts as gone (owned_ms). Two gauges show the first pair. No decision changes.

--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -106,6 +106,8 @@
     shared: Arc<Shared>,
     advice_client: Arc<AdviceClient>,
     epoch: u64,
+    /// When this owner took over.
+    began: Millis,
     /// Whether orders may be sent; stays true for longer than `lease_current` while the store does
     /// not answer.
     orders_allowed: Arc<AtomicBool>,
@@ -160,6 +162,7 @@
             shared,
             advice_client,
             epoch,
+            began: now,
             orders_allowed: Arc::clone(&permits.orders_allowed),
             lease_current: Arc::clone(&permits.lease_current),
             last_grant: Arc::clone(&permits.last_grant),
@@ -552,7 +555,8 @@
                     .get(&task)
                     .map(|at| self.shared.now().since(*at).0);
                 if proof != Proof::Refused {
-                    info!(%task, run, %host, %proof, ran_ms,
+                    let owned_ms = self.shared.now().since(self.began).0;
+                    info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms,
                         "owner: the run ended without a report.");
                 }
             }
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -69,6 +69,17 @@
             tenure,
         }
     }
+
+    /// Returns how long after `now` the last task lease ends that may be granted.
+    fn grant_left(&self, now: Millis) -> Millis {
+        Millis(self.last_grant.load(Ordering::Relaxed)).since(now)
+    }
+
+    /// Returns the time since the last confirmed renewal was sent.
+    fn unrenewed(&self, now: Millis) -> Millis {
+        let last_grant = Millis(self.last_grant.load(Ordering::Relaxed));
+        now.since(last_grant.since(self.tenure.last_grant(Millis::ZERO)))
+    }
 }
 
 /// Follows the ownership and takes it over when it is free, until the process ends; a local owner
@@ -107,6 +118,7 @@
     release: &Notify,
 ) -> Result<()> {
     let mut view = read_ownership(shared).await?;
+    let mut earlier = None;
     loop {
         let is_changed = *shared.owner.borrow() != view.owner;
         if is_changed {
@@ -121,13 +133,15 @@
                 sleep(Duration::from_millis(wait.0)).await;
                 // Another gate may have taken over meanwhile, and a read costs less than a lease.
                 let is_free = read_ownership(shared).await?.owner.is_none();
-                if is_free && take_over(shared, advice_client, process, release).await? {
+                let earlier = earlier.as_ref();
+                if is_free && take_over(shared, advice_client, process, earlier, release).await? {
                     return Ok(());
                 }
             }
             view = read_ownership(shared).await?;
             continue;
         };
+        earlier = Some(owner.clone());
         let epoch = owner.epoch;
         if owner.gate == shared.settings.gate && owner.process != process {
             info!(
@@ -238,11 +252,12 @@
 }
 
 /// Tries to become the owner and runs until the ownership is lost; returns whether this gate was
-/// the owner.
+/// the owner. `earlier` is the owner before, if this gate knew it.
 async fn take_over(
     shared: &Arc<Shared>,
     advice_client: &Arc<AdviceClient>,
     process: u64,
+    earlier: Option<&OwnerRecord>,
     release: &Notify,
 ) -> Result<bool> {
     let item = shared.store.get(EPOCH_KEY).await?;
@@ -279,13 +294,17 @@
         // The next read shows whether the write took effect; the lease ends unless it is renewed.
         Err(error) => bail!("taking over the ownership: {error}"),
     };
-    info!(
-        epoch = record.epoch,
-        revision, "ownership: this gate is the owner now."
-    );
     shared.owner.send_replace(Some(record.clone()));
     let task_lease = Millis(shared.settings.bounds.task_lease_ms);
     let permits = Permits::new(task_lease, sent);
+    info!(
+        epoch = record.epoch,
+        revision,
+        earlier_epoch = last,
+        earlier = earlier.map(|owner| owner.gate.as_str()),
+        silent_runs_ms = permits.tenure.inherited_lease().0,
+        "ownership: this gate is the owner now."
+    );
     let (owner, events) = Owner::new(
         Arc::clone(shared),
         Arc::clone(advice_client),
@@ -296,7 +315,7 @@
     shared.set_local_owner(Some(owner.handle()));
     let result = tokio::select! {
         result = owner.run(events) => result,
-        () = renew(shared, lease, sent, &permits) => Ok(()),
+        () = renew(shared, lease, record.epoch, sent, &permits) => Ok(()),
         () = release.notified() => Ok(()),
     };
     permits.orders_allowed.store(false, Ordering::Relaxed);
@@ -304,6 +323,8 @@
     shared.owner.send_replace(None);
     info!(
         epoch = record.epoch,
+        unrenewed_ms = permits.unrenewed(shared.now()).0,
+        last_grant_ms = permits.grant_left(shared.now()).0,
         "ownership: this gate is no longer the owner."
     );
     if let Err(error) = shared.store.revoke_lease(lease).await {
@@ -313,8 +334,9 @@
 }
 
 /// Renews the lease until it has ended or the store has not confirmed it for too long.
-async fn renew(shared: &Shared, lease: u64, sent: Millis, permits: &Permits) {
+async fn renew(shared: &Shared, lease: u64, epoch: u64, sent: Millis, permits: &Permits) {
     let mut last_confirmed = sent;
+    let mut is_confirmed = true;
     loop {
         sleep(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
         let sent = shared.now();
@@ -323,6 +345,9 @@
                 last_confirmed = sent;
                 let last_grant = permits.tenure.last_grant(sent);
                 permits.last_grant.store(last_grant.0, Ordering::Relaxed);
+                if !std::mem::replace(&mut is_confirmed, true) {
+                    info!(epoch, "ownership: the lease is renewed again.");
+                }
             }
             Ok(false) => {
                 info!(
@@ -331,9 +356,23 @@
                 );
                 return;
             }
-            Err(error) => warn!(%error, lease,
-                "ownership: renewing the lease failed; trying again."),
+            Err(error) => {
+                warn!(%error, lease, "ownership: renewing the lease failed; trying again.");
+                if std::mem::replace(&mut is_confirmed, false) {
+                    let now = shared.now();
+                    info!(
+                        epoch,
+                        unrenewed_ms = permits.unrenewed(now).0,
+                        last_grant_ms = permits.grant_left(now).0,
+                        "ownership: the lease is not renewed; task leases end by the last grant."
+                    );
+                }
+            }
         }
+        let now = shared.now();
+        let metrics = &shared.metrics;
+        metrics.set_gauge("unrenewed_ms", permits.unrenewed(now).0);
+        metrics.set_gauge("last_grant_ms", permits.grant_left(now).0);
         let silent = shared.now().since(last_confirmed).0;
         permits
             .lease_current
