--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -15,6 +15,7 @@
 mod log;
 mod metrics;
 mod owner;
+mod owner_event;
 mod ownership;
 mod peers;
 mod ready;
--- a/wigeongate/src/entry/cleanup.rs
+++ b/wigeongate/src/entry/cleanup.rs
@@ -7,7 +7,7 @@
 use wigeongate_core::workflow::Removal;
 use wigeongate_platform::store::{MAX_TXN_KEYS, Txn, TxnOutcome};
 
-use super::owner::OwnerEvent;
+use super::owner_event::OwnerEvent;
 use super::records::{OWNER_KEY, job_key};
 use super::shared::Shared;
 
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -16,7 +16,7 @@
 use wigeongate_platform::executor::{ExecutorClient, PollError, Target};
 use wigeongate_platform::http::CallError;
 
-use super::owner::OwnerEvent;
+use super::owner_event::OwnerEvent;
 use super::shared::Shared;
 
 /// How long a poll waits for a run to end, in milliseconds. Task leases are renewed at this
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -8,7 +8,7 @@
 use wigeongate_core::workflow::StoredJob;
 use wigeongate_platform::store::{Change, Item, StoreError};
 
-use super::owner::OwnerEvent;
+use super::owner_event::OwnerEvent;
 use super::records::{JOBS_PREFIX, decode_job, is_cancelled};
 use super::shared::Shared;
 
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -10,7 +10,7 @@
 use wigeongate_platform::store::{Txn, TxnOutcome};
 
 use super::cleanup::{self, MAX_REMOVED_KEYS};
-use super::owner::OwnerEvent;
+use super::owner_event::OwnerEvent;
 use super::records::{LogBatch, OWNER_KEY, batch_key, encode};
 use super::shared::Shared;
 
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,16 +12,16 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, Advice, AdviceGates, HostEntry, HostReport, Intake, PollFailure, Proof, Record,
-    StartResult, StepId, StoredJob, Submission, TaskName, WorkflowId, WorkflowScheduler,
-    WorkflowSettings,
+    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StepId, StoredJob,
+    Submission, TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings,
 };
 
-use super::advice::AdviceClient;
+use super::advice::{AdviceCall, AdviceClient};
 use super::callers::job_age;
 use super::hosts::HostLink;
 use super::job_watch;
 use super::log::Log;
+use super::owner_event::{OwnerEvent, OwnerHandle};
 use super::ownership::Permits;
 use super::peers::{self, PeerAnswer, PeerCall};
 use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode};
@@ -32,9 +32,6 @@
 /// The time between ticks, in milliseconds.
 const TICK_MS: u64 = 50;
 
-/// The time subtracted from the validity of a ticket for its transit, in milliseconds.
-const TICKET_TRANSIT_MS: u64 = 30;
-
 /// The pause after a placement pass, as a multiple of the time that the pass took. The calls to
 /// executors need most of the processor time.
 const PASS_REST_FACTOR: u32 = 4;
@@ -43,63 +40,6 @@
 /// of a third of all gates.
 const YIELD_CANDIDATES: usize = 3;
 
-/// An event that the owner handles.
-#[derive(Debug)]
-pub enum OwnerEvent {
-    /// A call of a gate, with the channel for the answer.
-    Call(PeerCall, oneshot::Sender<PeerAnswer>),
-    /// The configuration changed.
-    ConfigurationChanged,
-    /// The complete list of registered executors.
-    HostsListed(Vec<HostEntry>),
-    /// The list of executors is current as of this time, at which its read was sent.
-    RegistryRead(Millis),
-    /// An executor answered a poll.
-    HostReported(HostId, HostReport),
-    /// An executor gave no report to a poll.
-    PollFailed(HostId, PollFailure),
-    /// A poll is being sent that lets runs on the host continue until this time.
-    PollSent(HostId, Millis),
-    /// The result of an order to start a run.
-    StartAnswered(HostId, (TaskName, u32), StartResult),
-    /// An executor accepted an order to stop a run, at this time.
-    StopAnswered(HostId, (TaskName, u32), Millis),
-    /// An advice call that named these hosts ended; `None` without an answer.
-    AdviceAnswered(StepId, Vec<HostId>, Option<Advice>),
-    /// Accepted jobs were found in the store, complete up to a revision. The answer tells whether
-    /// they were added; if not, they have to be sent again.
-    JobsFound(Vec<StoredJob>, u64, oneshot::Sender<bool>),
-    /// The removal of expired keys has ended; whether the store has confirmed it.
-    RemovalAnswered(bool),
-    /// The log is written up to the record with this number.
-    LogWritten(u64),
-    /// Writes of the log fail repeatedly, so another gate should take over.
-    TakeoverWanted,
-    /// Another gate has become the owner.
-    Fenced,
-}
-
-/// A handle to the owner in this process.
-#[derive(Debug, Clone)]
-pub struct OwnerHandle(mpsc::UnboundedSender<OwnerEvent>);
-
-impl OwnerHandle {
-    /// Sends a call and waits for the answer, which is `NotOwner` once the owner has ended.
-    pub async fn call(&self, call: PeerCall) -> PeerAnswer {
-        let (answer, answered) = oneshot::channel();
-        if self.0.send(OwnerEvent::Call(call, answer)).is_err() {
-            return PeerAnswer::NotOwner;
-        }
-        answered.await.unwrap_or(PeerAnswer::NotOwner)
-    }
-
-    /// Notifies the owner that the configuration changed.
-    pub fn configure(&self) {
-        // Fails only after the owner's loop has ended.
-        let _ = self.0.send(OwnerEvent::ConfigurationChanged);
-    }
-}
-
 /// The state of the owner during one epoch.
 #[derive(Debug)]
 pub struct Owner {
@@ -184,7 +124,7 @@
 
     /// Returns a handle to this owner.
     pub fn handle(&self) -> OwnerHandle {
-        OwnerHandle(self.events.clone())
+        OwnerHandle::new(self.events.clone())
     }
 
     /// Restores the state of earlier owners, then runs the event loop until the ownership is lost.
@@ -629,35 +569,19 @@
                 .send(OwnerEvent::AdviceAnswered(step, hosts, None));
             return;
         };
+        let call = AdviceCall {
+            step,
+            hosts,
+            cost_ms,
+            through: address.map(|address| (address, backlog_ms + cost_ms)),
+        };
         let shared = Arc::clone(&self.shared);
-        let advice_client = Arc::clone(&self.advice_client);
+        let client = Arc::clone(&self.advice_client);
         let events = self.events.clone();
         tokio::spawn(async move {
-            let answer = match &address {
-                None => advice_client
-                    .request(&shared, step, &hosts, cost_ms)
-                    .await
-                    .ok(),
-                Some(address) => {
-                    let call = PeerCall::Advise(step, hosts.clone(), cost_ms);
-                    match peers::call(&shared, address, &call, backlog_ms + cost_ms).await {
-                        Ok(PeerAnswer::Advice(allowed, valid_ms)) => Some((allowed, valid_ms)),
-                        _ => None,
-                    }
-                }
-            };
-            let received = shared.now();
-            shared
-                .metrics
-                .record_duration("advice", "all", received.since(now));
-            info!(%step, named = hosts.len(),
-                good = answer.as_ref().map(|(allowed, _)| allowed.len()),
-                took_ms = received.since(now).0, by = address, "owner: advice call ended.");
-            let advice = answer.map(|(allowed, valid_ms)| Advice {
-                allowed,
-                until: received + Millis(valid_ms.saturating_sub(TICKET_TRANSIT_MS)),
-            });
-            let _ = events.send(OwnerEvent::AdviceAnswered(step, hosts, advice));
+            let advice = client.ask(&shared, &call).await;
+            // Fails only after the owner's loop has ended.
+            let _ = events.send(OwnerEvent::AdviceAnswered(step, call.hosts, advice));
         });
     }
 
--- a/wigeongate/src/entry/registry.rs
+++ b/wigeongate/src/entry/registry.rs
@@ -14,7 +14,7 @@
 use wigeongate_platform::registry::{self, HOST_PREFIX};
 use wigeongate_platform::store::{Change, StoreError};
 
-use super::owner::OwnerEvent;
+use super::owner_event::OwnerEvent;
 use super::shared::Shared;
 
 /// How long a watch waits for a change, in milliseconds. Each answer confirms that the list is
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -12,7 +12,7 @@
 use wigeongate_platform::store::Store;
 
 use super::metrics::EntryMetrics;
-use super::owner::OwnerHandle;
+use super::owner_event::OwnerHandle;
 use super::records::OwnerRecord;
 use crate::clock::BootClock;
 
