--- a/wigeongate/src/entry/advice.rs
+++ b/wigeongate/src/entry/advice.rs
@@ -52,7 +52,7 @@
         shared.metrics.record_duration("advice", "all", took);
         info!(step = %call.step, named = call.hosts.len(),
             good = answer.as_ref().map(|(allowed, _)| allowed.len()),
-            took_ms = took.0, by = call.through.as_ref().map(|(address, _)| address),
+            took_ms = took.0, cost_ms = call.cost_ms, by = call.through.as_ref().map(|(address, _)| address),
             "owner: advice call ended.");
         answer.map(|(allowed, valid_ms)| Advice {
             allowed,
