Play gangs that wait for advice, a test that fails

The test plays 4 to 60 gangs on hosts with room for twice as many, behind gates that make one call at a time.

--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod crashes;
 mod freshness;
+mod gang_rounds;
 mod leases;
 mod limits;
 mod records;
