Let a gang ask about hosts with room while those that it knows are taken

Cause: a gang that knows hosts with room for four times its tasks when empty asks about no more of them, and waits for room there for as long as others keep it, whatever is free elsewhere. Knowledge of hosts was taken for room on them.

A gang that has had no answer for 2 s and still no room asks about hosts that have room now, if the allowed ones among them are expected to fit what is missing; on a full fleet nothing more is asked. GangDemand got a field, which the old test of the plan sets to its former meaning.

--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -44,6 +44,10 @@
 /// takes less of the gates' time than two.
 const MAX_GANG_CALL_HOSTS: usize = 60;
 
+/// How long a gang waits for room on the hosts that may run it before it asks about others that have
+/// room, in milliseconds.
+const PATIENCE_MS: u64 = 2_000;
+
 /// A step may have one concurrent call for each this many gates, since other steps need the gates
 /// too.
 const GATES_PER_CALL: usize = 8;
@@ -123,6 +127,7 @@
             allowed_share: self.allowed_share(need),
             max_hosts: self.max_hosts(MAX_GANG_CALL_HOSTS),
             valid_until: now + Millis(refresh_ms.min(MAX_REFRESH_MS) + TICKET_MARGIN_MS),
+            is_impatient: now.since(advice.answered).0 >= PATIENCE_MS,
         };
         plan_gang_call(candidates.collect(), &demand)
     }
@@ -369,6 +374,7 @@
             return;
         };
         step.advice.not_before = now;
+        step.advice.answered = now;
         for id in named {
             let ticket = advice.allowed.iter().find(|(allowed, _)| allowed == id);
             if let Some((_, ticket)) = ticket {
--- a/wigeongate-core/src/workflow/gang_advice.rs
+++ b/wigeongate-core/src/workflow/gang_advice.rs
@@ -6,7 +6,8 @@
 //! calls on average: tickets of the first expire before the last are there, and the calls
 //! take the gates' time from all other work. So a gang learns its verdicts early in one wide call,
 //! waits until the hosts that may run it have room for all of its tasks, and then asks once more
-//! for the tickets that it needs, with that room set aside.
+//! for the tickets that it needs, with that room set aside. While others keep that room, it asks
+//! about further hosts that have room.
 
 use std::cmp::Reverse;
 
@@ -43,7 +44,7 @@
 }
 
 /// What a gang needs from a call.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub struct GangDemand {
     /// Number of tasks, all of which start together.
     pub tasks: u64,
@@ -53,6 +54,8 @@
     pub max_hosts: usize,
     /// The time until which a ticket must be valid to be used without another call.
     pub valid_until: Millis,
+    /// Whether it has waited long enough for room on the hosts that it knows.
+    pub is_impatient: bool,
 }
 
 /// Returns the hosts to ask about, or `None` if the gang has to wait for room or its tickets are
@@ -68,10 +71,13 @@
     }
     let known: u64 = allowed.iter().map(|candidate| candidate.most).sum();
     let missing = (demand.tasks * KNOWN_FACTOR).saturating_sub(known);
-    if missing == 0 {
+    let hosts = if missing > 0 {
+        new_hosts(new, missing, demand)
+    } else if demand.is_impatient {
+        hosts_with_room(new, demand.tasks - fits, demand)?
+    } else {
         return None;
-    }
-    let hosts = new_hosts(new, missing, demand);
+    };
     (!hosts.is_empty()).then_some(GangCall::NewHosts(hosts))
 }
 
@@ -97,6 +103,22 @@
     (!hosts.is_empty()).then_some(hosts)
 }
 
+/// Returns the new hosts with room now if the allowed ones among them are expected to fit the missing
+/// tasks.
+fn hosts_with_room(
+    mut new: Vec<Candidate>,
+    missing: u64,
+    demand: &GangDemand,
+) -> Option<Vec<HostId>> {
+    new.retain(|candidate| candidate.fits > 0);
+    sort_by_room(&mut new);
+    new.truncate(demand.max_hosts);
+    let fits: u64 = new.iter().map(|candidate| candidate.fits).sum();
+    #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
+    let is_enough = fits as f64 * demand.allowed_share >= missing as f64;
+    is_enough.then(|| new.into_iter().map(|candidate| candidate.id).collect())
+}
+
 /// Returns as many new hosts as are expected to add room for `missing` tasks when empty.
 fn new_hosts(mut new: Vec<Candidate>, missing: u64, demand: &GangDemand) -> Vec<HostId> {
     sort_by_room(&mut new);
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -94,6 +94,8 @@
     pub pending: HashSet<HostId>,
     /// The earliest time of the next call.
     pub not_before: Millis,
+    /// When the last call was answered.
+    pub answered: Millis,
 }
 
 /// A step of one occurrence.
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -212,6 +212,7 @@
         allowed_share: 0.35,
         max_hosts: 60,
         valid_until: NOW,
+        is_impatient: false,
     };
     for (name, hosts, expected) in cases {
         let candidates = hosts
@@ -225,6 +226,64 @@
     }
 }
 
+/// Guards against gangs that wait for the hosts that they know while others have room (LOST, day
+/// reborn-thrice).
+#[test]
+fn a_gang_that_has_waited_for_room_asks_about_hosts_that_have_it() {
+    struct Case {
+        name: &'static str,
+        is_impatient: bool,
+        /// The tasks that fit on each of 20 hosts that it does not know.
+        fits: u64,
+        asks: bool,
+    }
+    let cases = [
+        Case {
+            name: "just answered",
+            is_impatient: false,
+            fits: 4,
+            asks: false,
+        },
+        Case {
+            name: "waited, others have room",
+            is_impatient: true,
+            fits: 4,
+            asks: true,
+        },
+        Case {
+            name: "waited, others have too little room",
+            is_impatient: true,
+            fits: 1,
+            asks: false,
+        },
+        Case {
+            name: "waited, others are full",
+            is_impatient: true,
+            fits: 0,
+            asks: false,
+        },
+    ];
+    for case in cases {
+        let candidate = |at: u64| Candidate {
+            id: HostId::from(format!("w-{at:02}")),
+            fits: if at < 10 { 0 } else { case.fits },
+            most: 4,
+            ticket: (at < 10).then_some(Millis::ZERO),
+        };
+        let demand = GangDemand {
+            tasks: 10,
+            allowed_share: 0.35,
+            max_hosts: 60,
+            valid_until: NOW,
+            is_impatient: case.is_impatient,
+        };
+        let call = plan_gang_call((0..30).map(candidate).collect(), &demand);
+        let new = (10..30).map(|at| HostId::from(format!("w-{at:02}")));
+        let expected = case.asks.then(|| GangCall::NewHosts(new.collect()));
+        assert_eq!(call, expected, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_burst_of_gangs_on_a_full_fleet_starts_with_two_calls_each() {
     // 100 hosts of eight cores are full for 3 s, and twelve gangs of ten tasks of two cores arrive.
