Let gangs ask about different hosts

Cause: hosts with the same room were named in the order of their identifiers, so all gangs that waited named the same thirty hosts, took the room there from each other and asked again, while the rest of the fleet was not known to any of them.

Hosts with the same room are ordered by a hash that differs for each job.

--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -128,6 +128,7 @@
             max_hosts: self.max_hosts(MAX_GANG_CALL_HOSTS),
             valid_until: now + Millis(refresh_ms.min(MAX_REFRESH_MS) + TICKET_MARGIN_MS),
             is_impatient: now.since(advice.answered).0 >= PATIENCE_MS,
+            salt: need.step.job.0,
         };
         plan_gang_call(candidates.collect(), &demand)
     }
--- a/wigeongate-core/src/workflow/gang_advice.rs
+++ b/wigeongate-core/src/workflow/gang_advice.rs
@@ -10,6 +10,9 @@
 //! about further hosts that have room.
 
 use std::cmp::Reverse;
+use std::hash::BuildHasher;
+
+use foldhash::quality::FixedState;
 
 use crate::ids::HostId;
 use crate::time::Millis;
@@ -56,6 +59,8 @@
     pub valid_until: Millis,
     /// Whether it has waited long enough for room on the hosts that it knows.
     pub is_impatient: bool,
+    /// Orders hosts with the same room, so that gangs name different ones; zero orders them by name.
+    pub salt: u64,
 }
 
 /// Returns the hosts to ask about, or `None` if the gang has to wait for room or its tickets are
@@ -86,6 +91,16 @@
         .sort_by(|one, other| (Reverse(one.fits), &one.id).cmp(&(Reverse(other.fits), &other.id)));
 }
 
+/// Sorts by room, and hosts with the same room in another order for each salt.
+fn spread_by_room(candidates: &mut [Candidate], salt: u64) {
+    if salt == 0 {
+        return sort_by_room(candidates);
+    }
+    let hasher = FixedState::with_seed(salt);
+    candidates
+        .sort_by_cached_key(|candidate| (Reverse(candidate.fits), hasher.hash_one(&candidate.id)));
+}
+
 /// Returns those of the fewest hosts that fit the whole gang whose tickets expire too soon.
 fn missing_tickets(allowed: Vec<Candidate>, demand: &GangDemand) -> Option<Vec<HostId>> {
     let mut covered = 0;
@@ -111,7 +126,7 @@
     demand: &GangDemand,
 ) -> Option<Vec<HostId>> {
     new.retain(|candidate| candidate.fits > 0);
-    sort_by_room(&mut new);
+    spread_by_room(&mut new, demand.salt);
     new.truncate(demand.max_hosts);
     let fits: u64 = new.iter().map(|candidate| candidate.fits).sum();
     #[expect(clippy::cast_precision_loss, reason = "counts of tasks are small")]
@@ -121,7 +136,7 @@
 
 /// Returns as many new hosts as are expected to add room for `missing` tasks when empty.
 fn new_hosts(mut new: Vec<Candidate>, missing: u64, demand: &GangDemand) -> Vec<HostId> {
-    sort_by_room(&mut new);
+    spread_by_room(&mut new, demand.salt);
     let mut expected = 0.0;
     let mut hosts = Vec::new();
     for candidate in new.into_iter().filter(|candidate| candidate.most > 0) {
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -213,6 +213,7 @@
         max_hosts: 60,
         valid_until: NOW,
         is_impatient: false,
+        salt: 0,
     };
     for (name, hosts, expected) in cases {
         let candidates = hosts
@@ -276,6 +277,7 @@
             max_hosts: 60,
             valid_until: NOW,
             is_impatient: case.is_impatient,
+            salt: 0,
         };
         let call = plan_gang_call((0..30).map(candidate).collect(), &demand);
         let new = (10..30).map(|at| HostId::from(format!("w-{at:02}")));
--- a/wigeongate-core/tests/workflow/gang_rounds.rs
+++ b/wigeongate-core/tests/workflow/gang_rounds.rs
@@ -244,7 +244,6 @@
 /// their calls wait at the gates until the room that was set aside for them is gone (LOST, day
 /// reborn-thrice).
 #[test]
-#[ignore = "KNOWN-RED: issue 36, gangs without tickets"]
 fn gangs_start_within_three_rounds_of_advice_however_many_wait() {
     let case = |name, gangs, gates, age, full_ms| Case {
         name,
