Make an advice call only when a gate can begin it

Cause: calls were handed to gates with a backlog of up to 1.5 s, while the room set aside and the tickets in hand were reckoned from the call's own 0.45 s. Traced: room set aside at 52.16 s for 0.75 s, taken by others at 52.9 s, tickets there at 53.57 s; the next call 1.95 s, by which time these had expired.

The scheduler assigns gates itself now. A step whose call no gate can begin within 100 ms keeps its place in the order of the placement pass, in which older gangs come first; the room for tickets is set aside until the answer; a call for tickets names each host whose ticket expires before the answer, not only those that have expired. Answers correct what is known of a gate's backlog. wigeongate_advice_waiting counts the steps that wait for a gate.

Tests: a_call_is_made_only_when_a_gate_can_begin_it, a_call_for_tickets_names_every_host_whose_ticket_expires_before_the_answer. The old tests give the scheduler gates that have greeted it in place of their number; their checks are as they were.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -29,7 +29,7 @@
 mod takeover;
 mod tenure;
 
-pub use advice_gates::{AdviceGates, greeting_delay};
+pub use advice_gates::{AdviceGates, AssignedGate, greeting_delay};
 pub use crash::Crash;
 pub use freshness::StoreContact;
 pub use intake::{Intake, StoredJob, Submission};
--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use super::advice_gates::MAX_WAIT_MS;
 use super::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
 use super::host::{Host, HostReservation};
 use super::host_choice::Need;
@@ -66,39 +67,50 @@
         let Some(need) = self.need(at, rules, now) else {
             return;
         };
-        let (hosts, per_call) = if need.gang {
+        let (hosts, per_call, for_tickets) = if need.gang {
             let Some(call) = self.gang_call(&need, cost, now) else {
                 return;
             };
             match call {
-                GangCall::NewHosts(hosts) => (hosts, MAX_GANG_CALL_HOSTS),
-                GangCall::Tickets(hosts) => {
-                    let cost_ms = call_cost_ms(cost, hosts.len());
-                    self.reserve_free(at, rules, now + Millis(cost_ms + RESERVE_MARGIN_MS), now);
-                    (hosts, MAX_GANG_CALL_HOSTS)
-                }
+                GangCall::NewHosts(hosts) => (hosts, MAX_GANG_CALL_HOSTS, false),
+                GangCall::Tickets(hosts) => (hosts, MAX_GANG_CALL_HOSTS, true),
             }
         } else {
             let Some(hosts) = self.hosts_to_ask(&need, cost, now) else {
                 return;
             };
-            (hosts, MAX_CALL_HOSTS)
+            (hosts, MAX_CALL_HOSTS, false)
         };
         let calls = hosts.len().div_ceil(per_call);
         let hosts_per_call = hosts.len().div_ceil(calls);
         let cost_ms = call_cost_ms(cost, hosts_per_call);
-        let Some(step) = self.step(at) else {
+        if !self.advice_gates.can_begin(cost_ms, now) {
+            self.pass.waiting_for_gate += 1;
             return;
-        };
-        step.advice.pending.extend(hosts.iter().cloned());
-        step.advice.not_before = now + Millis(cost_ms + OVERDUE_MS);
+        }
+        let mut answer_ms = 0;
         for hosts in hosts.chunks(hosts_per_call) {
+            let Some(gate) = self.advice_gates.assign(cost_ms, now) else {
+                break;
+            };
+            answer_ms = answer_ms.max(gate.answer_ms);
+            if let Some(step) = self.step(at) {
+                step.advice.pending.extend(hosts.iter().cloned());
+            }
             out.push(Action::Advise {
                 step: at,
                 hosts: hosts.to_vec(),
                 cost_ms,
+                gate,
             });
         }
+        if let Some(step) = self.step(at) {
+            step.advice.not_before = now + Millis(answer_ms + OVERDUE_MS);
+        }
+        if for_tickets {
+            let until = now + Millis(answer_ms + RESERVE_MARGIN_MS);
+            self.reserve_free(at, rules, until, now);
+        }
     }
 
     /// Returns the hosts to name in calls for a gang, or `None` if a call would not help now.
@@ -127,6 +139,7 @@
             allowed_share: self.allowed_share(need),
             max_hosts: self.max_hosts(MAX_GANG_CALL_HOSTS),
             valid_until: now + Millis(refresh_ms.min(MAX_REFRESH_MS) + TICKET_MARGIN_MS),
+            answered_at: now + Millis(refresh_ms + MAX_WAIT_MS + TICKET_MARGIN_MS),
             is_impatient: now.since(advice.answered).0 >= PATIENCE_MS,
             salt: need.step.job.0,
         };
@@ -135,7 +148,7 @@
 
     /// Returns the most hosts that the concurrent calls about one step may name in total.
     fn max_hosts(&self, per_call: usize) -> usize {
-        per_call * (self.advice_gates / GATES_PER_CALL).max(1)
+        per_call * (self.advice_gates.count() / GATES_PER_CALL).max(1)
     }
 
     /// Returns the hosts to name in a call for single tasks, or `None` if a call would not help now.
--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -3,6 +3,11 @@
 //!
 //! Load pattern: right after a takeover every open step asks for advice, and the new owner knows no
 //! gate but its own. Gates therefore greet each new owner as soon as they learn of it.
+//!
+//! After a burst more steps want advice than gates can ask for. A call that waits at a gate is decided on
+//! too early: when its answer comes, other tickets have expired and the room is gone. So a call is
+//! made only when a gate can begin it, and until then its step keeps its place in the order of the
+//! placement pass.
 
 use std::collections::BTreeMap;
 
@@ -19,10 +24,13 @@
 /// The time between greetings of a gate that the owner has not answered, in milliseconds.
 const FIRST_GREETING_MS: u64 = 150;
 
-/// The longest backlog of advice calls at a gate, in milliseconds: with a longer one, tickets would
-/// expire before they are used.
+/// The longest backlog of a gate, in milliseconds, with several calls about one step: with a longer
+/// one, tickets would expire before they are used.
 const MAX_BACKLOG_MS: u64 = 1_500;
 
+/// The longest wait of a call for its gate, in milliseconds; a gate stays busy meanwhile.
+pub(super) const MAX_WAIT_MS: u64 = 100;
+
 /// The duration above which an advice call counts as long, in milliseconds: a short job that waits
 /// behind a long call would miss its objective.
 const LONG_CALL_MS: u64 = 200;
@@ -49,10 +57,32 @@
     greeted: Millis,
     /// When the calls assigned to it are expected to be answered.
     idle_at: Millis,
+    /// The expected time of the calls that are not answered, in milliseconds.
+    unanswered_ms: u64,
+}
+
+/// A gate that makes an advice call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AssignedGate {
+    /// The gate.
+    pub id: GateId,
+    /// Its address; `None` for the local gate.
+    pub address: Option<String>,
+    /// The time until the expected answer, in milliseconds.
+    pub answer_ms: u64,
+}
+
+impl Gate {
+    /// Returns the key by which calls are assigned; the smallest comes first.
+    fn order(&self, now: Millis) -> (Millis, bool, bool) {
+        // An overdue call keeps the gate busy for an unknown time.
+        let is_overdue = self.unanswered_ms > 0 && self.idle_at <= now;
+        (self.idle_at.max(now), is_overdue, self.address.is_none())
+    }
 }
 
 /// The gates that can call the advice service, with their backlogs.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct AdviceGates(BTreeMap<GateId, Gate>);
 
 impl AdviceGates {
@@ -62,6 +92,7 @@
             address: None,
             greeted: now,
             idle_at: now,
+            unanswered_ms: 0,
         };
         Self(BTreeMap::from([(own, gate)]))
     }
@@ -72,6 +103,7 @@
             address: None,
             greeted: now,
             idle_at: now,
+            unanswered_ms: 0,
         });
         gate.address = Some(address);
         gate.greeted = now;
@@ -87,27 +119,61 @@
         self.0.len()
     }
 
-    /// Assigns a call that takes `cost_ms` milliseconds to the gate with the shortest backlog.
-    /// Returns the gate's address (`None` for the local gate) and its backlog including the call,
-    /// in milliseconds, or `None` if every gate that may take the call has too long a backlog.
-    pub fn assign(&mut self, cost_ms: u64, now: Millis) -> Option<(Option<String>, u64)> {
+    /// Returns whether a gate can begin a call that takes `cost_ms` milliseconds shortly.
+    pub fn can_begin(&mut self, cost_ms: u64, now: Millis) -> bool {
+        self.drop_silent(now);
+        self.least_busy(cost_ms, now)
+            .is_some_and(|gate| gate.idle_at.since(now).0 <= MAX_WAIT_MS)
+    }
+
+    /// Assigns a call that takes `cost_ms` milliseconds to the gate with the shortest backlog;
+    /// `None` if every gate that may take the call has too long a backlog.
+    pub fn assign(&mut self, cost_ms: u64, now: Millis) -> Option<AssignedGate> {
+        self.drop_silent(now);
+        let id = self
+            .usable(cost_ms)
+            .min_by_key(|(_, gate)| gate.order(now))
+            .map(|(id, _)| id.clone())?;
+        let gate = self.0.get_mut(&id)?;
+        if gate.idle_at.since(now).0 > MAX_BACKLOG_MS {
+            return None;
+        }
+        gate.idle_at = gate.idle_at.max(now) + Millis(cost_ms);
+        gate.unanswered_ms += cost_ms;
+        Some(AssignedGate {
+            address: gate.address.clone(),
+            answer_ms: gate.idle_at.since(now).0,
+            id,
+        })
+    }
+
+    /// Records that a gate's call that was to take `cost_ms` milliseconds has ended: the others
+    /// that it was given are still to be made.
+    pub fn finish(&mut self, id: &GateId, cost_ms: u64, now: Millis) {
+        if let Some(gate) = self.0.get_mut(id) {
+            gate.unanswered_ms = gate.unanswered_ms.saturating_sub(cost_ms);
+            gate.idle_at = now + Millis(gate.unanswered_ms);
+        }
+    }
+
+    fn drop_silent(&mut self, now: Millis) {
         self.0.retain(|_, gate| {
             gate.address.is_none() || now.since(gate.greeted).0 < GREETING_TIMEOUT_MS
         });
-        let usable = if cost_ms > LONG_CALL_MS {
+    }
+
+    /// Returns the gates that may take a call of this duration.
+    fn usable(&self, cost_ms: u64) -> impl Iterator<Item = (&GateId, &Gate)> {
+        let count = if cost_ms > LONG_CALL_MS {
             (self.0.len() * LONG_CALL_GATES_PERCENT).div_ceil(100)
         } else {
             self.0.len()
         };
-        let gate = self
-            .0
-            .values_mut()
-            .take(usable)
-            .min_by_key(|gate| (gate.idle_at.max(now), gate.address.is_none()))?;
-        if gate.idle_at.since(now).0 > MAX_BACKLOG_MS {
-            return None;
-        }
-        gate.idle_at = gate.idle_at.max(now) + Millis(cost_ms);
-        Some((gate.address.clone(), gate.idle_at.since(now).0))
+        self.0.iter().take(count)
+    }
+
+    fn least_busy(&self, cost_ms: u64, now: Millis) -> Option<&Gate> {
+        let gates = self.usable(cost_ms).map(|(_, gate)| gate);
+        gates.min_by_key(|gate| gate.order(now))
     }
 }
--- a/wigeongate-core/src/workflow/gang_advice.rs
+++ b/wigeongate-core/src/workflow/gang_advice.rs
@@ -57,6 +57,8 @@
     pub max_hosts: usize,
     /// The time until which a ticket must be valid to be used without another call.
     pub valid_until: Millis,
+    /// The time until which the other tickets must be valid if a call is needed for one of them.
+    pub answered_at: Millis,
     /// Whether it has waited long enough for room on the hosts that it knows.
     pub is_impatient: bool,
     /// Orders hosts with the same room, so that gangs name different ones; zero orders them by name.
@@ -101,21 +103,25 @@
         .sort_by_cached_key(|candidate| (Reverse(candidate.fits), hasher.hash_one(&candidate.id)));
 }
 
-/// Returns those of the fewest hosts that fit the whole gang whose tickets expire too soon.
+/// Returns those of the fewest hosts that fit the whole gang whose tickets expire too soon: before
+/// they could be used or, if another one has to be fetched anyway, before that one is there.
 fn missing_tickets(allowed: Vec<Candidate>, demand: &GangDemand) -> Option<Vec<HostId>> {
     let mut covered = 0;
-    let hosts: Vec<HostId> = allowed
+    let needed: Vec<Candidate> = allowed
         .into_iter()
         .take_while(|candidate| {
-            let needed = covered < demand.tasks;
+            let is_needed = covered < demand.tasks;
             covered += candidate.fits;
-            needed
+            is_needed
         })
-        .filter(|candidate| candidate.ticket < Some(demand.valid_until))
-        .map(|candidate| candidate.id)
-        .take(demand.max_hosts)
         .collect();
-    (!hosts.is_empty()).then_some(hosts)
+    let expires = |candidate: &Candidate, until| candidate.ticket < Some(until);
+    if !needed.iter().any(|it| expires(it, demand.valid_until)) {
+        return None;
+    }
+    let until = demand.answered_at.max(demand.valid_until);
+    let hosts = needed.into_iter().filter(|it| expires(it, until));
+    Some(hosts.map(|it| it.id).take(demand.max_hosts).collect())
 }
 
 /// Returns the new hosts with room now if the allowed ones among them are expected to fit the missing
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 
+use super::advice_gates::AssignedGate;
 use super::host::RunKey;
 use super::restore::Record;
 use super::spec::{StepId, TaskName, WorkflowId};
@@ -224,6 +225,8 @@
         hosts: Vec<HostId>,
         /// Expected duration of the call, in milliseconds.
         cost_ms: u64,
+        /// The gate that makes it.
+        gate: AssignedGate,
     },
     /// Log that a run without a reported end has lost its claim.
     Released {
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -41,6 +41,8 @@
     held: HashMap<TeamId, Resources>,
     /// Steps that need a host in isolation and found none.
     pub(super) unplaced: usize,
+    /// Steps that need an advice call and found no gate that could begin it.
+    pub(super) waiting_for_gate: u64,
 }
 
 /// Free capacity on the hosts of one service.
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use super::advice_gates::AdviceGates;
 use super::allowance::Allowances;
 use super::crash::Accusation;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
@@ -100,8 +101,8 @@
     /// Steps that wait for the due time of their occurrence, in milliseconds since 1970.
     pub(super) due: BTreeSet<(u64, StepId)>,
     pub(super) wall_ms: u64,
-    /// Number of gates that can call the advice service.
-    pub(super) advice_gates: usize,
+    /// The gates that can call the advice service.
+    pub(super) advice_gates: AdviceGates,
     /// Hosts that advice has allowed and hosts that it was asked about, for each queue.
     pub(super) advice_totals: HashMap<QueueId, (u32, u32)>,
     /// Whether the views of the store that starts rest on are too old.
@@ -127,11 +128,26 @@
         self.dirty = true;
     }
 
-    /// Sets the number of gates that can call the advice service.
-    pub const fn set_advice_gates(&mut self, gates: usize) {
+    /// Sets the gates that can call the advice service.
+    pub fn set_advice_gates(&mut self, gates: AdviceGates) {
         self.advice_gates = gates;
     }
 
+    /// Returns the gates that can call the advice service.
+    pub const fn advice_gates(&self) -> &AdviceGates {
+        &self.advice_gates
+    }
+
+    /// Returns how many steps of the last placement pass need an advice call that no gate could begin.
+    pub const fn waiting_for_gate(&self) -> u64 {
+        self.pass.waiting_for_gate
+    }
+
+    /// Returns the gates that can call the advice service, to record greetings and ended calls.
+    pub const fn advice_gates_mut(&mut self) -> &mut AdviceGates {
+        &mut self.advice_gates
+    }
+
     /// Sets whether the views of the store that starts rest on are too old. No task starts while they
     /// are.
     pub const fn set_stale(&mut self, is_stale: bool) {
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -31,6 +31,16 @@
     scheduler_of(rules, hosts, gates, busy)
 }
 
+/// Returns gates that have just greeted the owner, the local one among them.
+fn greeted_gates(count: usize, now: Millis) -> AdviceGates {
+    let mut gates = AdviceGates::new(GateId::from("gate-00"), now);
+    for at in 1..count {
+        let name = format!("gate-{at:02}");
+        gates.record_greeting(GateId::from(name.as_str()), name, now);
+    }
+    gates
+}
+
 /// Returns the same scheduler with other rules.
 fn scheduler_of(
     rules: Rules,
@@ -40,7 +50,7 @@
 ) -> WorkflowScheduler {
     let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), NOW);
     scheduler.configure(Arc::new(rules));
-    scheduler.set_advice_gates(gates);
+    scheduler.set_advice_gates(greeted_gates(gates, NOW));
     let count = (0..hosts).map(&busy).sum();
     scheduler.submit(flow(1, vec![step(count, CORE)], None), NOW, Millis::ZERO);
     let mut next = 0;
@@ -212,6 +222,7 @@
         allowed_share: 0.35,
         max_hosts: 60,
         valid_until: NOW,
+        answered_at: NOW,
         is_impatient: false,
         salt: 0,
     };
@@ -276,6 +287,7 @@
             allowed_share: 0.35,
             max_hosts: 60,
             valid_until: NOW,
+            answered_at: NOW,
             is_impatient: case.is_impatient,
             salt: 0,
         };
@@ -286,6 +298,80 @@
     }
 }
 
+/// Guards against tickets that expire while the gang's other tickets are fetched (LOST, day
+/// reborn-thrice).
+#[test]
+fn a_call_for_tickets_names_every_host_whose_ticket_expires_before_the_answer() {
+    // Ten tasks need three of the hosts; the answer comes after 500 ms.
+    let cases: [(&str, [u64; 3], &[u64]); 4] = [
+        ("all outlast the answer", [2_000, 2_000, 2_000], &[]),
+        ("all are valid, one expires soon", [2_000, 2_000, 300], &[]),
+        ("one has expired", [2_000, 2_000, 0], &[2]),
+        ("one has expired, one does soon", [2_000, 300, 0], &[1, 2]),
+    ];
+    for (name, tickets, named) in cases {
+        let candidate = |(at, ticket): (u64, u64)| Candidate {
+            id: HostId::from(format!("w-{at:02}")),
+            fits: 4,
+            most: 4,
+            ticket: Some(NOW + Millis(ticket)),
+        };
+        let demand = GangDemand {
+            tasks: 10,
+            max_hosts: 60,
+            valid_until: NOW + Millis(120),
+            answered_at: NOW + Millis(500),
+            ..GangDemand::default()
+        };
+        let candidates = (0..).zip(tickets).map(candidate).collect();
+        let hosts: Vec<HostId> = named
+            .iter()
+            .map(|at| HostId::from(format!("w-{at:02}")))
+            .collect();
+        let expected = (!hosts.is_empty()).then_some(GangCall::Tickets(hosts));
+        assert_eq!(plan_gang_call(candidates, &demand), expected, "{name}");
+    }
+}
+
+/// Guards against calls that wait at a gate until the room that was set aside for them is gone
+/// (LOST, day reborn-thrice).
+#[test]
+fn a_call_is_made_only_when_a_gate_can_begin_it() {
+    let mut scheduler = scheduler(40, 1, |_| 0);
+    let gang = |job| flow(job, vec![gang(6)], None);
+    // The second gang was accepted before the first.
+    scheduler.submit(gang(2), NOW, Millis::ZERO);
+    scheduler.submit(gang(3), NOW, Millis(500));
+    scheduler.submit(gang(4), NOW, Millis(200));
+    let mut order = Vec::new();
+    for call in 0..3 {
+        let now = NOW + Millis(call * 200);
+        let mut actions = Vec::new();
+        for at in 0..4 {
+            let now = now + Millis(at);
+            scheduler.tick(now, 0, &mut actions);
+            scheduler.place(now, &mut actions);
+        }
+        let calls = actions.into_iter().filter_map(|action| match action {
+            Action::Advise {
+                step,
+                gate,
+                cost_ms,
+                ..
+            } => Some((step.job.0, gate, cost_ms)),
+            _ => None,
+        });
+        let calls: Vec<_> = calls.collect();
+        assert_eq!(calls.len(), 1, "call {call}");
+        for (job, gate, cost_ms) in calls {
+            order.push(job);
+            let gates = scheduler.advice_gates_mut();
+            gates.finish(&gate.id, cost_ms, now + Millis(150));
+        }
+    }
+    assert_eq!(order, [3, 4, 2], "the oldest asks first");
+}
+
 #[test]
 fn a_burst_of_gangs_on_a_full_fleet_starts_with_two_calls_each() {
     // 100 hosts of eight cores are full for 3 s, and twelve gangs of ten tasks of two cores arrive.
@@ -306,6 +392,11 @@
     let mut started: HashSet<StepId> = HashSet::default();
     for ms in (0..5_000).step_by(50) {
         let now = NOW + Millis(ms);
+        for at in 1..16 {
+            let name = format!("gate-{at:02}");
+            let gates = scheduler.advice_gates_mut();
+            gates.record_greeting(GateId::from(name.as_str()), name, now);
+        }
         for at in 0..100 {
             let report = HostReport {
                 boot_ms: 1,
--- a/wigeongate-core/tests/workflow/gang_rounds.rs
+++ b/wigeongate-core/tests/workflow/gang_rounds.rs
@@ -50,54 +50,29 @@
 
 /// An advice call at a gate.
 struct Call {
+    gate: GateId,
+    cost_ms: u64,
     ends: u64,
     step: StepId,
     hosts: Vec<HostId>,
 }
 
-/// Gates that make one call at a time, and the calls that are under way.
+/// The calls that gates make, one after the other.
+#[derive(Default)]
 struct Service {
-    gates: AdviceGates,
     /// When each gate has made the calls that it was given.
-    busy_until: HashMap<Option<String>, u64>,
+    busy_until: HashMap<GateId, u64>,
     calls: Vec<Call>,
     made: u64,
 }
 
 impl Service {
-    fn new(count: u64) -> Self {
-        let mut gates = AdviceGates::new(GateId::from("gate-0"), NOW);
-        for at in 1..count {
-            let name = format!("gate-{at}");
-            gates.record_greeting(GateId::from(name.as_str()), name, NOW);
-        }
-        Self {
-            gates,
-            busy_until: HashMap::default(),
-            calls: Vec::new(),
-            made: 0,
-        }
-    }
-
-    fn greet(&mut self, now: Millis) {
-        let addresses: Vec<String> = self.gates.other_addresses().map(str::to_owned).collect();
-        for address in addresses {
-            let gate = GateId::from(address.as_str());
-            self.gates.record_greeting(gate, address, now);
-        }
-    }
-
-    /// Hands a call to a gate; returns it if every gate has a full backlog.
-    fn begin(&mut self, now: Millis, call: Call, cost_ms: u64) -> Option<Call> {
-        let Some((gate, _)) = self.gates.assign(cost_ms, now) else {
-            return Some(call);
-        };
-        let busy_until = self.busy_until.entry(gate).or_default();
-        let ends = now.0.max(*busy_until) + cost_ms;
-        *busy_until = ends;
+    fn begin(&mut self, now: Millis, mut call: Call) {
+        let busy_until = self.busy_until.entry(call.gate.clone()).or_default();
+        call.ends = now.0.max(*busy_until) + call.cost_ms;
+        *busy_until = call.ends;
         self.made += 1;
-        self.calls.push(Call { ends, ..call });
-        None
+        self.calls.push(call);
     }
 
     fn answered(&mut self, now: Millis) -> Vec<Call> {
@@ -107,13 +82,20 @@
     }
 }
 
+fn greet(gates: &mut AdviceGates, count: u64, now: Millis) {
+    for at in 1..count {
+        let name = format!("gate-{at}");
+        gates.record_greeting(GateId::from(name.as_str()), name, now);
+    }
+}
+
 /// The service allows one host in three for each step.
 fn is_allowed(host: &HostId, step: StepId) -> bool {
     let at: u64 = host.as_str()[2..].parse().expect("a number");
     (at * 7 + step.job.0 * 5).is_multiple_of(3)
 }
 
-fn scheduler(hosts: usize, gates: u64) -> WorkflowScheduler {
+fn scheduler(hosts: usize) -> WorkflowScheduler {
     let mut rules = rules(3, Resources::UNBOUNDED);
     if let Some(rules) = rules.queues.get_mut(&queue()) {
         Arc::make_mut(rules).advice = Some(AdviceCost {
@@ -124,7 +106,7 @@
     }
     let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), NOW);
     scheduler.configure(Arc::new(rules));
-    scheduler.set_advice_gates(usize::try_from(gates).expect("a few gates"));
+    scheduler.set_advice_gates(AdviceGates::new(GateId::from("gate-0"), NOW));
     for at in 0..hosts {
         scheduler.list_host(host(at, 8 * CORE), NOW);
     }
@@ -165,8 +147,8 @@
 fn play(case: &Case) -> (Vec<Millis>, u64) {
     let gangs = usize::try_from(case.gangs).expect("a few gangs");
     let hosts = gangs * 4;
-    let mut scheduler = scheduler(hosts, case.gates);
-    let mut service = Service::new(case.gates);
+    let mut scheduler = scheduler(hosts);
+    let mut service = Service::default();
     let busy = u32::try_from(hosts * 8).expect("a few tasks");
     scheduler.submit(flow(1, vec![step(busy, CORE)], None), NOW, Millis::ZERO);
     for job in 2..2 + case.gangs {
@@ -183,7 +165,7 @@
     for ms in (0..20_000).step_by(usize::try_from(STEP_MS).expect("a short step")) {
         let now = NOW + Millis(ms);
         let mut actions = Vec::new();
-        service.greet(now);
+        greet(scheduler.advice_gates_mut(), case.gates, now);
         if ms % 500 == 0 {
             for at in 0..hosts {
                 let id = HostId::from(format!("w-{at}"));
@@ -191,7 +173,10 @@
                 scheduler.apply_report(&id, &report, now, &mut actions);
             }
         }
-        for Call { step, hosts, .. } in service.answered(now) {
+        for call in service.answered(now) {
+            let gates = scheduler.advice_gates_mut();
+            gates.finish(&call.gate, call.cost_ms, now);
+            let Call { step, hosts, .. } = call;
             let allowed = hosts.iter().filter(|host| is_allowed(host, step));
             let advice = Advice {
                 allowed: allowed.map(|host| (host.clone(), String::new())).collect(),
@@ -210,15 +195,16 @@
                     step,
                     hosts,
                     cost_ms,
+                    gate,
                 } => {
                     let call = Call {
+                        gate: gate.id,
+                        cost_ms,
                         ends: 0,
                         step,
                         hosts,
                     };
-                    if let Some(call) = service.begin(now, call, cost_ms) {
-                        scheduler.apply_advice(call.step, &call.hosts, None, now);
-                    }
+                    service.begin(now, call);
                 }
                 Action::Start(order) => {
                     if started.insert(order.task.step) {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -319,7 +319,7 @@
         backlog_ms: Some(20),
     });
     for (at, call) in calls.into_iter().enumerate() {
-        let taken = gates.assign(call.cost_ms, now).map(|(_, backlog)| backlog);
+        let taken = gates.assign(call.cost_ms, now).map(|gate| gate.answer_ms);
         assert_eq!(taken, call.backlog_ms, "call {at}");
     }
 }
--- a/wigeongate/src/entry/advice.rs
+++ b/wigeongate/src/entry/advice.rs
@@ -4,7 +4,7 @@
 use tracing::info;
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{Advice, StepId};
+use wigeongate_core::workflow::{Advice, AssignedGate, StepId};
 use wigeongate_platform::advice::{self, AdviceError};
 
 use super::peers::{self, PeerAnswer, PeerCall};
@@ -22,8 +22,8 @@
     pub hosts: Vec<HostId>,
     /// The time that the service takes, in milliseconds.
     pub cost_ms: u64,
-    /// The address of the other gate, and how long it has for the answer, in milliseconds.
-    pub through: Option<(String, u64)>,
+    /// The gate that makes the call.
+    pub gate: AssignedGate,
 }
 
 /// A client of the advice service, which serves one call per entry host at a time.
@@ -34,14 +34,16 @@
     /// Makes a call of the owner; returns `None` without an answer.
     pub async fn ask(&self, shared: &Shared, call: &AdviceCall) -> Option<Advice> {
         let asked = shared.now();
-        let answer = match &call.through {
+        let address = call.gate.address.as_deref();
+        let answer = match address {
             None => self
                 .request(shared, call.step, &call.hosts, call.cost_ms)
                 .await
                 .ok(),
-            Some((address, wait_ms)) => {
+            Some(address) => {
                 let forwarded = PeerCall::Advise(call.step, call.hosts.clone(), call.cost_ms);
-                match peers::call(shared, address, &forwarded, *wait_ms).await {
+                let wait_ms = call.gate.answer_ms + call.cost_ms;
+                match peers::call(shared, address, &forwarded, wait_ms).await {
                     Ok(PeerAnswer::Advice(allowed, valid_ms)) => Some((allowed, valid_ms)),
                     _ => None,
                 }
@@ -52,7 +54,7 @@
         shared.metrics.record_duration("advice", "all", took);
         info!(step = %call.step, named = call.hosts.len(),
             good = answer.as_ref().map(|(allowed, _)| allowed.len()),
-            took_ms = took.0, cost_ms = call.cost_ms, by = call.through.as_ref().map(|(address, _)| address),
+            took_ms = took.0, cost_ms = call.cost_ms, by = address,
             "owner: advice call ended.");
         answer.map(|(allowed, valid_ms)| Advice {
             allowed,
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,8 +12,8 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StepId, StoredJob,
-    Submission, TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings,
+    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StoredJob, Submission,
+    TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
@@ -57,8 +57,6 @@
     last_grant: Arc<AtomicU64>,
     scheduler: WorkflowScheduler,
     links: HashMap<HostId, HostLink>,
-    /// The gates through which the advice service can be called.
-    gates: AdviceGates,
     events: mpsc::UnboundedSender<OwnerEvent>,
     log: Log,
     /// Cancellations by the number of their record; each is answered when the record is written.
@@ -96,9 +94,10 @@
             retention: Millis::from_secs(bounds.shown_s + 30),
         };
         let log = Log::new(Arc::clone(&shared), epoch, revision, events.clone());
-        let gates = AdviceGates::new(shared.settings.gate.clone(), now);
+        let mut scheduler = WorkflowScheduler::new(settings, now);
+        scheduler.set_advice_gates(AdviceGates::new(shared.settings.gate.clone(), now));
         let owner = Self {
-            scheduler: WorkflowScheduler::new(settings, now),
+            scheduler,
             shared,
             advice_client,
             epoch,
@@ -107,7 +106,6 @@
             lease_current: Arc::clone(&permits.lease_current),
             last_grant: Arc::clone(&permits.last_grant),
             links: HashMap::default(),
-            gates,
             events,
             log,
             pending_cancels: Vec::new(),
@@ -161,7 +159,9 @@
                     }
                     self.check_views();
                     let age_ms = self.registry_age().0;
-                    self.shared.metrics.set_gauge("registry_age_ms", age_ms);
+                    let metrics = &self.shared.metrics;
+                    metrics.set_gauge("registry_age_ms", age_ms);
+                    metrics.set_gauge("advice_waiting", self.scheduler.waiting_for_gate());
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.clean_up();
                 }
@@ -169,7 +169,6 @@
             }
             let started = Instant::now();
             if started >= self.next_pass && self.may_place() {
-                self.scheduler.set_advice_gates(self.gates.count());
                 self.scheduler.place(self.shared.now(), &mut actions);
                 self.next_pass = started + started.elapsed() * (1 + PASS_REST_FACTOR);
             }
@@ -184,11 +183,9 @@
     /// Asks several other gates to take over, since a gate whose calls the store refuses as well
     /// cannot become the owner.
     fn yield_ownership(&self) {
-        let skip = rand::random_range(0..self.gates.count());
-        let others = self
-            .gates
-            .other_addresses()
-            .chain(self.gates.other_addresses());
+        let gates = self.scheduler.advice_gates();
+        let skip = rand::random_range(0..gates.count());
+        let others = gates.other_addresses().chain(gates.other_addresses());
         for address in others.skip(skip).take(YIELD_CANDIDATES) {
             info!(
                 epoch = self.epoch,
@@ -327,9 +324,11 @@
                     .start_result(&host, run, result, now, actions);
             }
             OwnerEvent::StopAnswered(host, run, at) => self.scheduler.stop_result(&host, run, at),
-            OwnerEvent::AdviceAnswered(step, hosts, advice) => {
+            OwnerEvent::AdviceAnswered(call, advice) => {
+                let gates = self.scheduler.advice_gates_mut();
+                gates.finish(&call.gate.id, call.cost_ms, now);
                 self.scheduler
-                    .apply_advice(step, &hosts, advice.as_ref(), now);
+                    .apply_advice(call.step, &call.hosts, advice.as_ref(), now);
             }
             OwnerEvent::JobsFound(jobs, revision, answer) => {
                 let is_current = self.lease_current.load(Ordering::Relaxed);
@@ -377,7 +376,8 @@
         let now = self.shared.now();
         let reply = match call {
             PeerCall::Hello(gate, address) => {
-                self.gates.record_greeting(gate, address, now);
+                let gates = self.scheduler.advice_gates_mut();
+                gates.record_greeting(gate, address, now);
                 PeerAnswer::Done
             }
             PeerCall::Submit(job) if self.lease_current.load(Ordering::Relaxed) => {
@@ -482,7 +482,13 @@
                 step,
                 hosts,
                 cost_ms,
-            } => self.advise(step, hosts, cost_ms),
+                gate,
+            } => self.advise(AdviceCall {
+                step,
+                hosts,
+                cost_ms,
+                gate,
+            }),
             Action::Released {
                 host,
                 task,
@@ -558,30 +564,15 @@
         }
     }
 
-    /// Calls the advice service through the gate with the shortest backlog.
-    fn advise(&mut self, step: StepId, hosts: Vec<HostId>, cost_ms: u64) {
-        let now = self.shared.now();
-        let Some((address, backlog_ms)) = self.gates.assign(cost_ms, now) else {
-            info!(%step, cost_ms,
-                "owner: every gate has a full backlog of advice calls; the call is dropped.");
-            let _ = self
-                .events
-                .send(OwnerEvent::AdviceAnswered(step, hosts, None));
-            return;
-        };
-        let call = AdviceCall {
-            step,
-            hosts,
-            cost_ms,
-            through: address.map(|address| (address, backlog_ms + cost_ms)),
-        };
+    /// Calls the advice service through the gate that the scheduler chose.
+    fn advise(&self, call: AdviceCall) {
         let shared = Arc::clone(&self.shared);
         let client = Arc::clone(&self.advice_client);
         let events = self.events.clone();
         tokio::spawn(async move {
             let advice = client.ask(&shared, &call).await;
             // Fails only after the owner's loop has ended.
-            let _ = events.send(OwnerEvent::AdviceAnswered(step, call.hosts, advice));
+            let _ = events.send(OwnerEvent::AdviceAnswered(call, advice));
         });
     }
 
--- a/wigeongate/src/entry/owner_event.rs
+++ b/wigeongate/src/entry/owner_event.rs
@@ -4,9 +4,10 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Advice, HostEntry, HostReport, PollFailure, StartResult, StepId, StoredJob, TaskName,
+    Advice, HostEntry, HostReport, PollFailure, StartResult, StoredJob, TaskName,
 };
 
+use super::advice::AdviceCall;
 use super::peers::{PeerAnswer, PeerCall};
 
 /// An event that the owner handles.
@@ -30,8 +31,8 @@
     StartAnswered(HostId, (TaskName, u32), StartResult),
     /// An executor accepted an order to stop a run, at this time.
     StopAnswered(HostId, (TaskName, u32), Millis),
-    /// An advice call that named these hosts ended; `None` without an answer.
-    AdviceAnswered(StepId, Vec<HostId>, Option<Advice>),
+    /// An advice call ended; `None` without an answer.
+    AdviceAnswered(AdviceCall, Option<Advice>),
     /// Accepted jobs were found in the store, complete up to a revision. The answer tells whether
     /// they were added; if not, they have to be sent again.
     JobsFound(Vec<StoredJob>, u64, oneshot::Sender<bool>),
