Log what a verdict against a job rests on

The line of a job that is given up named the job and the last host, so that on-call could not tell a bad task from a coincidence: neither the ages of the runs, nor whether a start was ever confirmed, nor how many hosts were lost beside.

Each crash under a suspect is weighed when it is judged and when it is proved: the time from the start to the latest moment of the host's death, whether the start was confirmed, the hosts lost beside, those that crashed of late without a start that explains it, and the chance that follows. The evidence goes into the log in a new record at the end of the enum, so that a new owner has the same; the line has all of it; the counters verdicts and acquittals are new. No decision changes.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -7,6 +7,7 @@
 mod advice_gates;
 mod allowance;
 mod crash;
+mod evidence;
 mod freshness;
 mod gang_advice;
 mod host;
@@ -31,6 +32,7 @@
 
 pub use advice_gates::{AdviceGates, greeting_delay};
 pub use crash::Crash;
+pub use evidence::Evidence;
 pub use freshness::StoreContact;
 pub use intake::{Intake, StoredJob, Submission};
 pub use message::{
--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -8,8 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::evidence::Evidence;
 use super::host::RunKey;
-use super::spec::WorkflowId;
+use super::spec::{TaskName, WorkflowId};
 use crate::time::Millis;
 
 /// The age below which a run is suspected first, in milliseconds.
@@ -55,8 +56,8 @@
     pub machine: String,
     /// The jobs of the suspects that are not cleared.
     pub accused: Vec<WorkflowId>,
-    /// The other runs that were not old.
-    pub others: Vec<RunKey>,
+    /// The tasks of the other runs that were not old, and what the crash proves against each.
+    pub others: Vec<(TaskName, Evidence)>,
 }
 
 /// The runs that may have crashed their host.
@@ -72,6 +73,8 @@
     pub age: Millis,
     /// Whether no other hosts were lost at the same moment.
     pub is_own_loss: bool,
+    /// What the crash proves against each of them.
+    pub evidence: Vec<Evidence>,
 }
 
 impl Blame {
@@ -95,14 +98,16 @@
             suspects: suspects.into_iter().map(|run| run.key).collect(),
             young,
             is_own_loss: true,
+            evidence: Vec::new(),
         }
     }
 
     /// Returns the accusation that follows from a judgement on runs that had just started.
-    pub fn accusation(&self, lost: &[LostRun], machine: &str) -> Option<Accusation> {
-        let others = lost.iter().filter(|run| run.age.0 < OLD_MS);
-        let others = others.map(|run| run.key);
-        let others: Vec<RunKey> = others.filter(|key| !self.suspects.contains(key)).collect();
+    pub fn accusation(
+        &self,
+        others: Vec<(TaskName, Evidence)>,
+        machine: &str,
+    ) -> Option<Accusation> {
         let mut accused: Vec<WorkflowId> = Vec::new();
         accused.extend(self.suspects.iter().map(|(task, _)| task.step.job));
         accused.sort_unstable();
@@ -114,6 +119,13 @@
         })
     }
 
+    /// Returns the other runs that are not old.
+    pub fn others(&self, lost: &[LostRun]) -> Vec<RunKey> {
+        let recent = lost.iter().filter(|run| run.age.0 < OLD_MS);
+        let keys = recent.map(|run| run.key);
+        keys.filter(|key| !self.suspects.contains(key)).collect()
+    }
+
     /// Returns the only suspected job.
     pub fn sole_job(&self) -> Option<WorkflowId> {
         let first = self.suspects.first().filter(|_| self.sole)?;
--- /dev/null
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -0,0 +1,324 @@
+//! Weighs what the crash of a host proves against a run on it.
+//!
+//! Hosts also crash for reasons of their own, many at a time behind a cut. What speaks against a run
+//! is the chance that its host would have crashed so soon after the start without its doing.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::crash::OLD_MS;
+use super::host::{Host, RunKey};
+use super::job::Job;
+use super::message::Action;
+use super::restore::Record;
+use super::scheduler::WorkflowScheduler;
+use super::spec::TaskName;
+use crate::collections::HashSet;
+use crate::ids::{HostId, ZoneId};
+use crate::time::Millis;
+
+/// Crashes of one host per second for reasons of its own on a quiet fleet: one in 14 hours.
+const QUIET_RATE: f64 = 2e-5;
+
+/// The spans around a crash over which the rate of unexplained crashes is taken, in milliseconds;
+/// the highest rate counts. The last one is how long a loss is remembered.
+const SPANS_MS: [u64; 3] = [1_000, 4_000, 16_000];
+
+/// The age below which a start explains the crash of its host, in milliseconds.
+const EXPLAINED_MS: u64 = 100;
+
+/// The longest time from the first failed poll of a host until its address refuses connections, in
+/// milliseconds, for which the time of its death is known.
+const PROMPT_MS: u64 = 300;
+
+/// The least share of hosts without a start that would explain their crash.
+const MIN_SHARE: f64 = 0.05;
+
+/// The shortest time from a start to the crash that can be told, in milliseconds.
+const MIN_AGE_MS: u64 = 10;
+
+/// The least chance for weak evidence: an unanswered start, or other suspects.
+const WEAK_CHANCE: f64 = 1e-3;
+
+/// Chances are stored in parts of this.
+const SCALE: f64 = 1e9;
+
+/// What a crash under a run rests on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[display(
+    "run {run} on {host}: age {age}, confirmed {confirmed}, hosts beside {beside}, \
+     unexplained {unexplained}, chance {chance_ppb} ppb"
+)]
+pub struct Evidence {
+    /// Number of the run.
+    pub run: u32,
+    /// The host that crashed.
+    pub host: HostId,
+    /// The time from the start to the latest moment at which the host can have died.
+    pub age: Millis,
+    /// Whether an answer or a report confirmed the start; not known of starts of earlier owners.
+    pub confirmed: bool,
+    /// Whether a run on the host had started just before, which explains the crash.
+    pub explained: bool,
+    /// The number of hosts lost within a second of this one.
+    pub beside: u32,
+    /// The number of hosts that crashed of late and whose crash no start explains.
+    pub unexplained: u32,
+    /// The chance that the host would have crashed without the run, in parts per billion.
+    pub chance_ppb: u32,
+}
+
+/// A host that was lost.
+#[derive(Debug)]
+pub(super) struct Loss {
+    host: HostId,
+    service: String,
+    zone: ZoneId,
+    at: Millis,
+    explained: bool,
+}
+
+/// The rate at which hosts of a group crash without a start that explains it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct BaseRate {
+    /// Crashes of one host per second.
+    per_s: f64,
+    beside: usize,
+    unexplained: usize,
+}
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+fn to_u32(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn span_s(span: Millis) -> f64 {
+    f64::from(u32::try_from(span.0).unwrap_or(u32::MAX)) / 1_000.0
+}
+
+impl BaseRate {
+    /// Returns the chance that a host crashes within a span, in parts per billion.
+    fn chance_ppb(self, span: Millis, weak: bool) -> u32 {
+        let span = span.max(Millis(MIN_AGE_MS));
+        let chance = 1.0 - (-self.per_s * span_s(span)).exp();
+        let chance = if weak {
+            chance.max(WEAK_CHANCE)
+        } else {
+            chance
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a chance is between 0 and 1"
+        )]
+        let ppb = (chance * SCALE).ceil() as u32;
+        ppb
+    }
+}
+
+/// Returns until when a lost host may have run: the first failed poll, if its address refused
+/// connections at once.
+pub(super) fn latest_death(host: &Host, now: Millis) -> Millis {
+    let failing = host.failing;
+    let prompt = failing.filter(|failing| {
+        failing
+            .ended
+            .is_some_and(|ended| ended.since(failing.since).0 <= PROMPT_MS)
+    });
+    prompt.map_or(now, |failing| failing.since)
+}
+
+impl WorkflowScheduler {
+    /// Remembers the loss of a host, and whether a start on it explains it.
+    pub(super) fn note_loss(&mut self, id: &HostId, now: Millis) {
+        let memory_ms = 2 * SPANS_MS[2];
+        self.losses.retain(|loss| now.since(loss.at).0 < memory_ms);
+        let Some(host) = self.hosts.get(id).filter(|host| !host.entry.draining) else {
+            return;
+        };
+        let died = host.failing.map_or(now, |failing| failing.since);
+        if self.losses.iter().any(|it| it.host == *id && it.at == died) {
+            return;
+        }
+        let latest = latest_death(host, now);
+        let is_start = |age: Millis| age.0 < EXPLAINED_MS;
+        let ages = host.claims.values().map(|claim| {
+            if host.has_reported() {
+                latest.since(claim.since)
+            } else if claim.batch == host.newest_batch {
+                Millis::ZERO
+            } else {
+                Millis(EXPLAINED_MS)
+            }
+        });
+        let loss = Loss {
+            host: id.clone(),
+            service: host.entry.service.clone(),
+            zone: host.entry.zone.clone(),
+            at: died,
+            explained: ages.into_iter().any(is_start),
+        };
+        self.losses.push(loss);
+    }
+
+    /// Adds the losses that the log of earlier owners shows. Their times are not known.
+    pub(super) fn restore_losses(&mut self, now: Millis) {
+        let explained: HashSet<HostId> = self
+            .jobs
+            .values()
+            .flat_map(Job::tasks)
+            .flat_map(|(_, task)| &task.evidence)
+            .filter(|evidence| evidence.explained)
+            .map(|evidence| evidence.host.clone())
+            .collect();
+        for (host, service) in std::mem::take(&mut self.logged_losses) {
+            if explained.contains(&host) {
+                continue;
+            }
+            self.losses.push(Loss {
+                host,
+                service,
+                zone: ZoneId::default(),
+                at: now,
+                explained: false,
+            });
+        }
+    }
+
+    /// Forgets the loss of a host that turns out to have gone on.
+    pub(super) fn forget_loss(&mut self, id: &HostId) {
+        self.losses.retain(|loss| loss.host != *id);
+    }
+
+    /// Returns the rate of unexplained crashes around the death of a host, in its service or its
+    /// zone, without those of the hosts that crashed under the same task.
+    pub(super) fn base_rate(&self, host: &Host, task: TaskName, now: Millis) -> BaseRate {
+        let died = host.failing.map_or(now, |failing| failing.since);
+        let own = self.evidence(task);
+        let is_other = |id: &HostId| *id != host.entry.id && own.iter().all(|it| it.host != *id);
+        let in_service = |other: &Host| other.entry.service == host.entry.service;
+        let fleet = || self.hosts.values().filter(|other| in_service(other));
+        let losses = self.losses.iter().filter(|loss| {
+            !loss.explained && loss.service == host.entry.service && is_other(&loss.host)
+        });
+        let mut lost: Vec<(Millis, &ZoneId)> = losses.map(|loss| (loss.at, &loss.zone)).collect();
+        // Silent hosts may have crashed as well.
+        let silent = fleet().filter(|other| other.blame.is_none() && is_other(&other.entry.id));
+        lost.extend(silent.filter_map(|other| {
+            let is_known = self.losses.iter().any(|loss| loss.host == other.entry.id);
+            let failing = other
+                .failing
+                .filter(|_| !is_known && !other.entry.draining)?;
+            Some((failing.since, &other.entry.zone))
+        }));
+        let alive = |other: &&Host| other.listed && other.failing.is_none();
+        let hosts = fleet().filter(alive).count();
+        let is_calm = |other: &&Host| {
+            let mut claims = other.claims.values();
+            claims.all(|claim| now.since(claim.since).0 >= EXPLAINED_MS)
+        };
+        let calm = fleet().filter(alive).filter(is_calm).count();
+        let share = (to_f64(calm) / to_f64(hosts.max(1))).max(MIN_SHARE);
+        let zone = &host.entry.zone;
+        let in_zone = fleet().filter(|other| other.entry.zone == *zone && other.listed);
+        let groups = [
+            (fleet().filter(|other| other.listed).count(), None),
+            (in_zone.count(), Some(zone)),
+        ];
+        let mut rate = BaseRate::default();
+        for (size, zone) in groups {
+            for span_ms in SPANS_MS {
+                let near = |(at, other): &&(Millis, &ZoneId)| {
+                    at.0.abs_diff(died.0) <= span_ms && zone.is_none_or(|zone| zone == *other)
+                };
+                let count = lost.iter().filter(near).count();
+                let exposure = to_f64(size.max(1)) * share * span_s(Millis(span_ms));
+                rate.per_s = rate.per_s.max(to_f64(count) / exposure);
+                if zone.is_none() {
+                    rate.unexplained = rate.unexplained.max(count);
+                    if span_ms == SPANS_MS[0] {
+                        rate.beside = count;
+                    }
+                }
+            }
+        }
+        rate.per_s += QUIET_RATE;
+        rate
+    }
+
+    /// Returns what the loss of a host proves against a run on it.
+    pub(super) fn weigh(&self, id: &HostId, key: RunKey, now: Millis) -> Option<Evidence> {
+        let host = self.hosts.get(id)?;
+        let claim = host.claims.get(&key)?;
+        let known = self.evidence(key.0).iter().find(|it| it.run == key.1);
+        let (age, confirmed) = if host.has_reported() {
+            (latest_death(host, now).since(claim.since), claim.confirmed)
+        } else {
+            // An earlier owner started it, and this one has not seen the host alive.
+            let age = Millis(OLD_MS) + now.since(self.took_over);
+            known.map_or((age, false), |known| (known.age, known.confirmed))
+        };
+        let is_weak = !confirmed && (host.has_reported() || known.is_some());
+        let loss = self.losses.iter().rfind(|loss| loss.host == *id);
+        let rate = self.base_rate(host, key.0, now);
+        Some(Evidence {
+            run: key.1,
+            host: id.clone(),
+            age,
+            confirmed,
+            explained: loss.is_some_and(|loss| loss.explained),
+            beside: to_u32(rate.beside),
+            unexplained: to_u32(rate.unexplained),
+            chance_ppb: rate.chance_ppb(age, is_weak),
+        })
+    }
+
+    /// Returns the evidence against a task.
+    pub(super) fn evidence(&self, name: TaskName) -> &[Evidence] {
+        self.jobs
+            .get(&name.step.job)
+            .and_then(|job| job.task(name))
+            .map_or(&[], |task| &task.evidence)
+    }
+
+    /// Records what a crash under a task proves. What is learnt later, such as other hosts lost at
+    /// that time, can only weaken it.
+    pub(super) fn record_evidence(
+        &mut self,
+        name: TaskName,
+        evidence: Evidence,
+        out: &mut Vec<Action>,
+    ) {
+        if self.add_evidence(name, &evidence) {
+            self.record(Record::Weighed(name, evidence), out);
+        }
+    }
+
+    /// Adds what a crash under a task proves; returns whether that changes what is known.
+    pub(super) fn add_evidence(&mut self, name: TaskName, evidence: &Evidence) -> bool {
+        let Some(task) = self.task(name) else {
+            return false;
+        };
+        if !task.crashes.iter().any(|it| it.run == evidence.run) {
+            return false;
+        }
+        let known = task.evidence.iter_mut().find(|it| it.run == evidence.run);
+        match known {
+            None => task.evidence.push(evidence.clone()),
+            Some(known) if known.chance_ppb < evidence.chance_ppb => *known = evidence.clone(),
+            Some(_) => return false,
+        }
+        true
+    }
+
+    /// Reports the evidence on which a job is given up.
+    pub(super) fn report_verdict(&self, name: TaskName, out: &mut Vec<Action>) {
+        out.push(Action::Verdict {
+            task: name,
+            evidence: self.evidence(name).to_vec(),
+        });
+    }
+}
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -77,6 +77,8 @@
     pub stop_answered: Option<Millis>,
     /// When the start was ordered or the run was first reported.
     pub since: Millis,
+    /// Whether an answer or a report has confirmed the start.
+    pub confirmed: bool,
     /// Whether the run lasts until its job is cancelled.
     pub lasting: bool,
     /// The boot of the executor that was ordered to start it, in milliseconds since 1970; zero if
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -39,8 +39,8 @@
 pub struct Failing {
     /// When the first poll failed.
     pub since: Millis,
-    /// Whether the host's process has ended, as its address refuses connections.
-    pub ended: bool,
+    /// When it was seen that the host's process has ended, as its address refuses connections.
+    pub ended: Option<Millis>,
 }
 
 /// Returns whether a host whose polls fail since this time, and whose address refuses connections,
@@ -67,9 +67,11 @@
         };
         let failing = host.failing.get_or_insert(Failing {
             since: now,
-            ended: false,
+            ended: None,
         });
-        failing.ended |= failure != PollFailure::NoAnswer;
+        if failure != PollFailure::NoAnswer {
+            failing.ended.get_or_insert(now);
+        }
         let failing = *failing;
         let is_gone = has_left(host, failing.since);
         let proof = match failure {
@@ -87,9 +89,9 @@
     pub(super) fn judge_losses(&mut self, now: Millis, out: &mut Vec<Action>) {
         let ended = |host: &&Host| {
             host.blame.is_none()
-                && host
-                    .failing
-                    .is_some_and(|failing| failing.ended && now.since(failing.since).0 >= SETTLE_MS)
+                && host.failing.is_some_and(|failing| {
+                    failing.ended.is_some() && now.since(failing.since).0 >= SETTLE_MS
+                })
         };
         let ids: Vec<HostId> = self
             .hosts
@@ -114,7 +116,15 @@
             .recorded_blame(host)
             .unwrap_or_else(|| self.blame(host, died, &lost));
         let machine = host.entry.address.clone();
-        self.accusations.extend(blame.accusation(&lost, &machine));
+        self.note_loss(id, now);
+        let mut blame = blame;
+        let weigh = |key: &RunKey| self.weigh(id, *key, now);
+        blame.evidence = blame.suspects.iter().filter_map(weigh).collect();
+        let others = blame.others(&lost);
+        let others = others.into_iter();
+        let others = others.filter_map(|key| Some((key.0, self.weigh(id, key, now)?)));
+        let others = others.collect();
+        self.accusations.extend(blame.accusation(others, &machine));
         let excess = self.accusations.len().saturating_sub(MAX_ACCUSATIONS);
         self.accusations.drain(..excess);
         self.suspect_queue(id, &blame, now);
@@ -126,6 +136,7 @@
             };
             self.suspect(*task, crash, &machine, out);
         }
+        self.record_all_evidence(&blame, out);
         if let Some(host) = self.hosts.get_mut(id) {
             host.blame = Some(blame);
         }
@@ -153,17 +164,24 @@
             .partition(|accusation| accusation.accused.is_empty());
         self.accusations = rest;
         for accusation in withdrawn {
-            for (task, run) in accusation.others {
+            for (task, evidence) in accusation.others {
                 let crash = Crash {
-                    run,
+                    run: evidence.run,
                     sole: false,
                     young: false,
                 };
                 self.suspect(task, crash, &accusation.machine, out);
+                self.record_evidence(task, evidence, out);
             }
         }
     }
 
+    fn record_all_evidence(&mut self, blame: &Blame, out: &mut Vec<Action>) {
+        for ((task, _), evidence) in blame.suspects.iter().zip(&blame.evidence) {
+            self.record_evidence(*task, evidence.clone(), out);
+        }
+    }
+
     fn blame(&self, host: &Host, died: Millis, lost: &[LostRun]) -> Blame {
         if host.entry.draining {
             return Blame::default();
@@ -189,17 +207,22 @@
             age: Millis::ZERO,
             is_own_loss: crash.sole,
             suspects: recorded.iter().map(|(key, _)| *key).collect(),
+            evidence: Vec::new(),
         })
     }
 
     /// Takes back the judgement on a host whose process turns out to have gone on.
     pub(super) fn acquit(&mut self, id: &HostId, out: &mut Vec<Action>) {
         let host = self.hosts.get_mut(id);
-        let blame = host.and_then(|host| host.blame.take()).unwrap_or_default();
+        let Some(blame) = host.and_then(|host| host.blame.take()) else {
+            return;
+        };
+        self.forget_loss(id);
         for (task, run) in blame.suspects {
             if let Some(state) = self.task(task) {
-                state.crashes.retain(|crash| crash.run != run);
+                state.acquit(run);
                 self.record(Record::Acquitted(task, run), out);
+                out.push(Action::Acquitted { task });
             }
         }
     }
@@ -305,21 +328,24 @@
         let host = self.hosts.get_mut(id);
         let blame = host.and_then(|host| host.blame.take()).unwrap_or_default();
         let mut convicted = Vec::new();
-        for (task, _) in &blame.suspects {
+        for (task, run) in &blame.suspects {
             let job = task.step.job;
+            if let Some(evidence) = self.weigh(id, (*task, *run), now) {
+                self.record_evidence(*task, evidence, out);
+            }
             if let Some(job) = self.jobs.get_mut(&job) {
                 job.crashed = now;
             }
-            if is_convicted(self.crashes(*task)) && !convicted.contains(&job) {
+            let is_open = self.jobs.get(&job).is_some_and(|job| job.end.is_none());
+            if is_open && is_convicted(self.crashes(*task)) && !convicted.contains(&job) {
                 convicted.push(job);
+                self.report_verdict(*task, out);
             }
         }
-        convicted.retain(|job| self.jobs.get(job).is_some_and(|job| job.end.is_none()));
         out.push(Action::HostLost {
             host: id.clone(),
             runs: lost.len(),
             suspects: blame.suspects,
-            convicted: convicted.clone(),
         });
         convicted
     }
@@ -373,6 +399,7 @@
                     Self::step_of(job, name.step).and_then(|step| step.task(name.index))
                 {
                     task.cleared = true;
+                    out.push(Action::Acquitted { task: name });
                 }
             }
             if job.tasks().any(|(_, task)| task.is_suspect()) {
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::{Crash, OLD_MS, YOUNG_MS};
+use super::evidence::Evidence;
 use super::host::RunKey;
 use super::rules::QueueRules;
 use super::spec::{StepId, StepSpec, TaskName, Workflow};
@@ -73,6 +74,8 @@
     pub failed: Vec<u32>,
     /// Crashes of hosts that may have been its doing.
     pub crashes: Vec<Crash>,
+    /// What is known of these crashes.
+    pub evidence: Vec<Evidence>,
     /// Whether it has run on since the last of these crashes.
     pub cleared: bool,
     /// The newest checkpoint; empty for none.
@@ -273,6 +276,12 @@
         if young { YOUNG_MS } else { OLD_MS }
     }
 
+    /// Takes back that the host of a run crashed under it.
+    pub fn acquit(&mut self, run: u32) {
+        self.crashes.retain(|crash| crash.run != run);
+        self.evidence.retain(|evidence| evidence.run != run);
+    }
+
     /// Records a failed run; returns whether it is new.
     pub fn record_failure(&mut self, run: u32) -> bool {
         let new = !self.failed.contains(&run);
@@ -318,6 +327,7 @@
             run: 0,
             failed: Vec::new(),
             crashes: Vec::new(),
+            evidence: Vec::new(),
             cleared: false,
             checkpoint: Arc::from(""),
             placements: Vec::new(),
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -4,9 +4,10 @@
 
 use derive_more::Display;
 
+use super::evidence::Evidence;
 use super::host::RunKey;
 use super::restore::Record;
-use super::spec::{StepId, TaskName, WorkflowId};
+use super::spec::{StepId, TaskName};
 use crate::ids::{HostId, QueueId};
 use crate::time::Millis;
 
@@ -244,8 +245,18 @@
         runs: usize,
         /// The runs that may have crashed it; empty if none is suspected.
         suspects: Vec<RunKey>,
-        /// The jobs that are given up for it.
-        convicted: Vec<WorkflowId>,
+    },
+    /// Log that a job is given up for the crashes under a task.
+    Verdict {
+        /// The task.
+        task: TaskName,
+        /// What the crashes rest on.
+        evidence: Vec<Evidence>,
+    },
+    /// Log that a suspected task did not crash a host after all.
+    Acquitted {
+        /// The task.
+        task: TaskName,
     },
     /// Log that the jobs of a queue are suspected to crash their hosts, or no longer are.
     QueueSuspected {
--- a/wigeongate-core/src/workflow/order_results.rs
+++ b/wigeongate-core/src/workflow/order_results.rs
@@ -25,6 +25,7 @@
         };
         match result {
             StartResult::Started => {
+                claim.confirmed = true;
                 if claim.stage == Stage::Ordered {
                     claim.stage = Stage::Running;
                     claim.since = now;
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -442,6 +442,7 @@
                     ordered: now,
                     stop_answered: None,
                     since: now,
+                    confirmed: false,
                     lasting,
                     boot_ms,
                     batch: 0,
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -77,6 +77,9 @@
             .filter(|(_, claim)| is_lost(claim))
             .map(|(run, _)| *run)
             .collect();
+        if runs.is_empty() && host.boot_ms != 0 && host.boot_ms != boot_ms {
+            self.note_loss(id, now);
+        }
         self.lose_runs(id, runs, Proof::NewBoot, now, out);
     }
 
@@ -146,10 +149,11 @@
         let done = self
             .task(running.task)
             .is_none_or(|task| task.phase == Phase::Done);
-        if let Some(claim) = self.claim(id, key)
-            && claim.stage == Stage::Ordered
-        {
-            claim.stage = Stage::Running;
+        if let Some(claim) = self.claim(id, key) {
+            claim.confirmed = true;
+            if claim.stage == Stage::Ordered {
+                claim.stage = Stage::Running;
+            }
         }
         if !wanted || done {
             self.stop_run(id, key, now, out);
@@ -177,6 +181,7 @@
                     ordered: now,
                     stop_answered: None,
                     since: now,
+                    confirmed: false,
                     lasting,
                     boot_ms,
                     batch: 0,
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::{Crash, is_convicted};
+use super::evidence::Evidence;
 use super::host::{Host, HostEntry, RunKey};
 use super::job::{Phase, WorkflowStatus};
 use super::message::Action;
@@ -55,6 +56,8 @@
     Lost(TaskName, u32),
     /// The host of a run did not crash under it after all.
     Acquitted(TaskName, u32),
+    /// What a crash under a task rests on.
+    Weighed(TaskName, Evidence),
 }
 
 impl Record {
@@ -66,7 +69,8 @@
             | Self::Started(task, ..)
             | Self::StartedOn(task, ..)
             | Self::Lost(task, _)
-            | Self::Acquitted(task, _) => task.step.job,
+            | Self::Acquitted(task, _)
+            | Self::Weighed(task, _) => task.step.job,
             Self::Crashed(record) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
             Self::Ended(job, _) => *job,
@@ -115,15 +119,16 @@
             }
             Record::Lost(task, run) => {
                 job.started = true;
-                self.logged_runs.remove(&(*task, *run));
+                self.log_loss((*task, *run));
             }
             Record::Acquitted(task, run) => {
-                if let Some(state) =
-                    Self::step_of(job, task.step).and_then(|step| step.task(task.index))
-                {
-                    state.crashes.retain(|crash| crash.run != *run);
+                if let Some(state) = self.task(*task) {
+                    state.acquit(*run);
                 }
             }
+            Record::Weighed(task, evidence) => {
+                self.add_evidence(*task, evidence);
+            }
             Record::Crashed(record) => {
                 job.started = true;
                 let CrashRecord {
@@ -182,6 +187,15 @@
         self.logged_runs.insert(key, run);
     }
 
+    fn log_loss(&mut self, key: RunKey) {
+        let job = self.jobs.get(&key.0.step.job);
+        let service = job.map(|job| self.rules_of(&job.flow).service.clone());
+        if let Some(logged) = self.logged_runs.remove(&key) {
+            let service = service.unwrap_or_default();
+            self.logged_losses.insert(logged.host, service);
+        }
+    }
+
     /// Returns whether a task or gang of an open job has failed or crashed its hosts too often.
     fn is_exhausted(&self, id: WorkflowId) -> bool {
         let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
@@ -250,6 +264,7 @@
     /// marks the steps that can start as ready.
     pub fn finish_restore(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.adopt_inherited(now);
+        self.restore_losses(now);
         let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
         for id in ids {
             if self.is_exhausted(id) {
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -1,10 +1,11 @@
 //! The state of the workflow scheduler and the events that change it.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use super::allowance::Allowances;
 use super::crash::Accusation;
+use super::evidence::Loss;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
@@ -87,6 +88,10 @@
     pub(super) suspects: BTreeSet<WorkflowId>,
     /// Crashes whose suspects have not been cleared or given up, the oldest first.
     pub(super) accusations: VecDeque<Accusation>,
+    /// Hosts that were lost of late, in the order in which that was seen.
+    pub(super) losses: Vec<Loss>,
+    /// Hosts that the log shows as lost and their services, collected during the replay.
+    pub(super) logged_losses: BTreeMap<HostId, String>,
     /// Queues whose jobs crash their hosts.
     pub(super) isolation: Isolation,
     /// Runs reported for jobs that are not known yet, with their hosts.
@@ -367,7 +372,7 @@
             return;
         };
         let runs: Vec<RunKey> = host.claims.keys().copied().collect();
-        if host.failing.is_some_and(|failing| failing.ended) {
+        if host.failing.is_some_and(|failing| failing.ended.is_some()) {
             self.lose_runs(id, runs, Proof::LeaseExpired, now, out);
             return;
         }
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -756,6 +756,8 @@
                 }
                 Action::Released { .. }
                 | Action::HostLost { .. }
+                | Action::Verdict { .. }
+                | Action::Acquitted { .. }
                 | Action::QueueSuspected { .. } => {}
                 Action::Poll { host } => self.send(1, Message::Poll(host)),
                 Action::Forget {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -13,8 +13,7 @@
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
     Action, Advice, AdviceGates, HostEntry, HostReport, Intake, PollFailure, Proof, Record,
-    StartResult, StepId, StoredJob, Submission, TaskName, WorkflowId, WorkflowScheduler,
-    WorkflowSettings,
+    StartResult, StepId, StoredJob, Submission, TaskName, WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::AdviceClient;
@@ -560,8 +559,17 @@
                 host,
                 runs,
                 suspects,
-                convicted,
-            } => self.report_loss(&host, runs, &suspects, &convicted),
+            } => self.report_loss(&host, runs, &suspects),
+            Action::Verdict { task, evidence } => {
+                let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
+                self.shared.metrics.count("verdicts", "crashes");
+                info!(%task, job = %task.step.job, evidence = evidence.join("; "),
+                    "owner: hosts crash under a task of the job; the job is given up.");
+            }
+            Action::Acquitted { task } => {
+                self.shared.metrics.count("acquittals", "crashes");
+                debug!(%task, "owner: a suspected task did not crash its host.");
+            }
             Action::QueueSuspected { queue, suspected } => {
                 info!(%queue, suspected,
                     "owner: the suspicion that jobs of the queue crash their hosts changed.");
@@ -591,13 +599,7 @@
     }
 
     /// Logs the loss of a host with its runs.
-    fn report_loss(
-        &self,
-        host: &HostId,
-        runs: usize,
-        suspects: &[(TaskName, u32)],
-        convicted: &[WorkflowId],
-    ) {
+    fn report_loss(&self, host: &HostId, runs: usize, suspects: &[(TaskName, u32)]) {
         let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
         info!(%host, runs, suspects = names.join(" "), "owner: a host was lost with its runs.");
         self.shared.metrics.count(
@@ -608,10 +610,6 @@
                 "suspects"
             },
         );
-        for job in convicted {
-            info!(%job, %host,
-                "owner: hosts crash under a task of the job; the job is given up.");
-        }
     }
 
     /// Calls the advice service through the gate with the shortest backlog.
