Add failing tests for innocent jobs that are given up

A job whose second start got no answer is given up although no run began there, and a run that was refused comes back at the next owner.

--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -10,6 +10,7 @@
 mod removed_queues;
 mod retention;
 mod tenure;
+mod verdicts;
 mod world;
 
 use std::sync::Arc;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -21,6 +21,9 @@
 /// The number of failures after which a task has failed, by the rules that jobs are accepted under.
 pub const ATTEMPTS: u32 = 3;
 
+/// The time after which a call without an answer fails, in milliseconds.
+const TIMEOUT_MS: u64 = 400;
+
 /// Duration of one simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
 
@@ -122,6 +125,10 @@
     PollFailed(HostId, PollFailure),
     /// A task crashes its host.
     Crash(HostId, TaskName),
+    /// The process of a host ends.
+    Die(HostId),
+    /// The executors at an address can be reached again.
+    Heal(String),
     /// The successor of a crashed host starts.
     Return(HostId),
     /// The registration of a crashed host expires.
@@ -163,6 +170,8 @@
     pub lease_ms: u64,
     epoch: u64,
     executors: BTreeMap<HostId, Executor>,
+    /// Addresses from which calls get no answer.
+    cut: BTreeSet<String>,
     messages: BTreeMap<(u64, u64), (u64, Message)>,
     sent: u64,
     flows: Vec<Workflow>,
@@ -275,6 +284,7 @@
             lease_ms: LEASE_MS,
             epoch: 0,
             executors: BTreeMap::new(),
+            cut: BTreeSet::new(),
             messages: BTreeMap::new(),
             sent: 0,
             flows: Vec::new(),
@@ -492,7 +502,12 @@
             Message::Poll(id) => self.poll(epoch, id),
             Message::Forget(id, boot_ms, number) => {
                 let executor = self.executors.get_mut(&id).expect("the host is known");
-                if executor.reachable && executor.boot_ms == boot_ms && epoch >= executor.fence {
+                let is_cut = self.cut.contains(&executor.entry.address);
+                if executor.reachable
+                    && !is_cut
+                    && executor.boot_ms == boot_ms
+                    && epoch >= executor.fence
+                {
                     executor.forgotten = executor.forgotten.max(number);
                     for ended in executor.ended.iter().filter(|end| end.number <= number) {
                         if ended.outcome == RunOutcome::Done {
@@ -522,6 +537,8 @@
                 self.scheduler.poll_failed(&id, failure, now, &mut actions);
             }
             Message::Crash(id, task) => self.crash_by_task(&id, task),
+            Message::Die(id) => self.die(&id),
+            Message::Heal(address) => self.heal(&address),
             Message::Return(id) => self.start_successor(&id),
             Message::Unlist(id) => self.unlist(&id),
             _ => {}
@@ -534,7 +551,8 @@
             .executors
             .get_mut(&order.host)
             .expect("the host is known");
-        if !executor.reachable || epoch < executor.fence {
+        let is_cut = self.cut.contains(&executor.entry.address);
+        if !executor.reachable || is_cut || epoch < executor.fence {
             return;
         }
         executor.fence = executor.fence.max(epoch);
@@ -553,6 +571,11 @@
     fn poll(&mut self, epoch: u64, id: HostId) {
         let now = Millis(self.now);
         let executor = self.executors.get_mut(&id).expect("the host is known");
+        if self.cut.contains(&executor.entry.address) {
+            let silence = Message::PollFailed(id, PollFailure::NoAnswer);
+            self.reply(epoch, TIMEOUT_MS, silence);
+            return;
+        }
         if executor.dead {
             let failure = self.failure_of(&id);
             self.reply(epoch, 1, Message::PollFailed(id, failure));
@@ -592,6 +615,11 @@
             .executors
             .get_mut(&order.host)
             .expect("the host is known");
+        if self.cut.contains(&executor.entry.address) {
+            let unknown = Message::Result(order.host, key, StartResult::Unknown);
+            self.reply(epoch, TIMEOUT_MS, unknown);
+            return;
+        }
         if executor.dead {
             self.refused_starts += 1;
             if answer > 0 {
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -60,6 +60,35 @@
         }
     }
 
+    /// Cuts a host off for a while; its process ends behind the cut.
+    pub fn crash_behind_cut(&mut self, id: &HostId, crash_after: u64, cut_ms: u64) {
+        let address = self.executors[id].entry.address.clone();
+        self.cut.insert(address.clone());
+        self.send(crash_after, Message::Die(id.clone()));
+        self.send(cut_ms, Message::Heal(address));
+    }
+
+    /// Ends the process of a host in a while.
+    pub fn crash_later(&mut self, id: &HostId, after: u64) {
+        self.send(after, Message::Die(id.clone()));
+    }
+
+    pub(super) fn die(&mut self, id: &HostId) {
+        if !self.executors[id].dead {
+            self.kill_host(id);
+        }
+    }
+
+    pub(super) fn heal(&mut self, address: &str) {
+        self.cut.remove(address);
+    }
+
+    /// Returns the hosts whose processes run.
+    pub fn live_hosts(&self) -> Vec<HostId> {
+        let live = self.executors.values().filter(|at| !at.dead);
+        live.map(|at| at.entry.id.clone()).collect()
+    }
+
     /// Ends the other members of the gangs on a host, which wait for each other.
     fn break_gangs(&mut self, id: &HostId) {
         let runs: Vec<_> = self.executors[id].running.keys().copied().collect();
