--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -8,8 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::evidence::Evidence;
 use super::host::RunKey;
-use super::spec::WorkflowId;
+use super::spec::{TaskName, WorkflowId};
 use crate::time::Millis;
 
 /// The age below which a run is suspected first, in milliseconds.
@@ -55,8 +56,8 @@
     pub machine: String,
     /// The jobs of the suspects that are not cleared.
     pub accused: Vec<WorkflowId>,
-    /// The other runs that were not old.
-    pub others: Vec<RunKey>,
+    /// The tasks of the other runs that were not old, and what the crash proves against each.
+    pub others: Vec<(TaskName, Evidence)>,
 }
 
 /// The runs that may have crashed their host.
@@ -72,6 +73,8 @@
     pub age: Millis,
     /// Whether no other hosts were lost at the same moment.
     pub is_own_loss: bool,
+    /// What the crash proves against each of them.
+    pub evidence: Vec<Evidence>,
 }
 
 impl Blame {
@@ -95,14 +98,16 @@
             suspects: suspects.into_iter().map(|run| run.key).collect(),
             young,
             is_own_loss: true,
+            evidence: Vec::new(),
         }
     }
 
     /// Returns the accusation that follows from a judgement on runs that had just started.
-    pub fn accusation(&self, lost: &[LostRun], machine: &str) -> Option<Accusation> {
-        let others = lost.iter().filter(|run| run.age.0 < OLD_MS);
-        let others = others.map(|run| run.key);
-        let others: Vec<RunKey> = others.filter(|key| !self.suspects.contains(key)).collect();
+    pub fn accusation(
+        &self,
+        others: Vec<(TaskName, Evidence)>,
+        machine: &str,
+    ) -> Option<Accusation> {
         let mut accused: Vec<WorkflowId> = Vec::new();
         accused.extend(self.suspects.iter().map(|(task, _)| task.step.job));
         accused.sort_unstable();
@@ -114,6 +119,13 @@
         })
     }
 
+    /// Returns the other runs that are not old.
+    pub fn others(&self, lost: &[LostRun]) -> Vec<RunKey> {
+        let recent = lost.iter().filter(|run| run.age.0 < OLD_MS);
+        let keys = recent.map(|run| run.key);
+        keys.filter(|key| !self.suspects.contains(key)).collect()
+    }
+
     /// Returns the only suspected job.
     pub fn sole_job(&self) -> Option<WorkflowId> {
         let first = self.suspects.first().filter(|_| self.sole)?;
@@ -121,16 +133,19 @@
     }
 }
 
-/// Returns whether a task with these crashes is given up.
-pub fn is_convicted(crashes: &[Crash]) -> bool {
-    let Some(last) = crashes.last() else {
-        return false;
+/// Returns whether the crashes under a task are enough to give it up, if they are no coincidence.
+pub fn is_convicted(crashes: &[Crash], evidence: &[Evidence]) -> bool {
+    // A start that got no answer may not have begun.
+    let is_unanswered = |run: u32| evidence.iter().any(|it| it.run == run && it.unanswered);
+    let began = || crashes.iter().filter(|crash| !is_unanswered(crash.run));
+    let Some(last) = began().next_back() else {
+        return crashes.len() >= MAX_CRASHES;
     };
     // Crashes long after the start prove less, so one more is needed.
-    let needed = if crashes.iter().all(|crash| crash.young) {
+    let needed = if began().all(|crash| crash.young) {
         CONVICTION_CRASHES
     } else {
         CONVICTION_CRASHES + 1
     };
-    (last.sole && crashes.len() >= needed) || crashes.len() >= MAX_CRASHES
+    (last.sole && began().count() >= needed) || crashes.len() >= MAX_CRASHES
 }
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crash::{Crash, is_convicted};
+use super::crash::Crash;
+use super::evidence::Evidence;
 use super::host::{Host, HostEntry, RunKey};
 use super::job::{Phase, WorkflowStatus};
 use super::message::Action;
@@ -55,6 +56,8 @@
     Lost(TaskName, u32),
     /// The host of a run did not crash under it after all.
     Acquitted(TaskName, u32),
+    /// What a crash under a task rests on.
+    Weighed(TaskName, Evidence),
 }
 
 impl Record {
@@ -66,7 +69,8 @@
             | Self::Started(task, ..)
             | Self::StartedOn(task, ..)
             | Self::Lost(task, _)
-            | Self::Acquitted(task, _) => task.step.job,
+            | Self::Acquitted(task, _)
+            | Self::Weighed(task, _) => task.step.job,
             Self::Crashed(record) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
             Self::Ended(job, _) => *job,
@@ -115,15 +119,14 @@
             }
             Record::Lost(task, run) => {
                 job.started = true;
-                self.logged_runs.remove(&(*task, *run));
+                self.log_loss((*task, *run));
             }
             Record::Acquitted(task, run) => {
-                if let Some(state) =
-                    Self::step_of(job, task.step).and_then(|step| step.task(task.index))
-                {
-                    state.crashes.retain(|crash| crash.run != *run);
+                if let Some(state) = self.task(*task) {
+                    state.acquit(*run);
                 }
             }
+            Record::Weighed(task, evidence) => self.log_evidence(*task, evidence, now),
             Record::Crashed(record) => {
                 job.started = true;
                 let CrashRecord {
@@ -131,9 +134,7 @@
                     crash,
                     machine,
                 } = record;
-                if self.add_crash(*task, *crash, machine) && crash.sole && crash.young {
-                    self.count_against_queue(id, Millis::ZERO, now);
-                }
+                self.add_crash(*task, *crash, machine);
             }
             Record::Done(task) => {
                 job.started = true;
@@ -182,6 +183,25 @@
         self.logged_runs.insert(key, run);
     }
 
+    fn log_evidence(&mut self, task: TaskName, evidence: &Evidence, now: Millis) {
+        let is_new = self.add_evidence(task, evidence);
+        let mut crashes = self.crashes(task).iter();
+        let crash = crashes.find(|crash| crash.run == evidence.run);
+        let is_first_suspect = crash.is_some_and(|crash| crash.sole && crash.young);
+        if is_new && is_first_suspect && evidence.counts_against_queue() {
+            self.count_against_queue(task.step.job, Millis::ZERO, now);
+        }
+    }
+
+    fn log_loss(&mut self, key: RunKey) {
+        let job = self.jobs.get(&key.0.step.job);
+        let service = job.map(|job| self.rules_of(&job.flow).service.clone());
+        if let Some(logged) = self.logged_runs.remove(&key) {
+            let service = service.unwrap_or_default();
+            self.logged_losses.insert(logged.host, service);
+        }
+    }
+
     /// Returns whether a task or gang of an open job has failed or crashed its hosts too often.
     fn is_exhausted(&self, id: WorkflowId) -> bool {
         let Some(job) = self.jobs.get(&id).filter(|job| job.end.is_none()) else {
@@ -193,7 +213,9 @@
             .flat_map(|occurrence| &occurrence.steps)
             .filter(|step| step.remaining > 0 && !step.spec.long_running)
             .any(|step| step.failure_limit_reached(attempts))
-            || job.tasks().any(|(_, task)| is_convicted(&task.crashes))
+            || job
+                .tasks()
+                .any(|(name, task)| !task.crashes.is_empty() && job.is_guilty(name))
     }
 
     /// Adopts runs that earlier owners ordered and that may still exist. They hold their claims
@@ -250,6 +272,7 @@
     /// marks the steps that can start as ready.
     pub fn finish_restore(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.adopt_inherited(now);
+        self.restore_losses(now);
         let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
         for id in ids {
             if self.is_exhausted(id) {
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,8 +12,8 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StoredJob, Submission,
-    TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings,
+    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StartOrder, StoredJob,
+    Submission, TaskName, WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
@@ -461,16 +461,7 @@
 
     fn execute(&mut self, action: Action) {
         match action {
-            Action::Start(order) => {
-                let (capacity, used) = self.scheduler.load(&order.host).unwrap_or_default();
-                info!(task = %order.task, run = order.run, host = %order.host,
-                    epoch = self.epoch, registry_age_ms = self.registry_age().0,
-                    cpu = capacity.cpu, used_cpu = used.cpu, "owner: ordering a start.");
-                self.start_times.insert(order.task, self.shared.now());
-                if let Some(link) = self.links.get(&order.host) {
-                    link.start(order);
-                }
-            }
+            Action::Start(order) => self.order_start(order),
             Action::Stop(order) => {
                 info!(task = %order.task, run = order.run, host = %order.host,
                     "owner: ordering a stop.");
@@ -494,24 +485,22 @@
                 task,
                 run,
                 proof,
-            } => {
-                self.shared.metrics.count("released", &proof.to_string());
-                let ran_ms = self
-                    .start_times
-                    .get(&task)
-                    .map(|at| self.shared.now().since(*at).0);
-                if proof != Proof::Refused {
-                    let owned_ms = self.shared.now().since(self.began).0;
-                    info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms,
-                        "owner: the run ended without a report.");
-                }
-            }
+            } => self.report_release(&host, task, run, proof),
             Action::HostLost {
                 host,
                 runs,
                 suspects,
-                convicted,
-            } => self.report_loss(&host, runs, &suspects, &convicted),
+            } => self.report_loss(&host, runs, &suspects),
+            Action::Verdict { task, evidence } => {
+                let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
+                self.shared.metrics.count("verdicts", "crashes");
+                info!(%task, job = %task.step.job, evidence = evidence.join("; "),
+                    "owner: hosts crash under a task of the job; the job is given up.");
+            }
+            Action::Acquitted { task } => {
+                self.shared.metrics.count("acquittals", "crashes");
+                debug!(%task, "owner: a suspected task did not crash its host.");
+            }
             Action::QueueSuspected { queue, suspected } => {
                 info!(%queue, suspected,
                     "owner: the suspicion that jobs of the queue crash their hosts changed.");
@@ -540,14 +529,32 @@
         }
     }
 
+    fn order_start(&mut self, order: StartOrder) {
+        let (capacity, used) = self.scheduler.load(&order.host).unwrap_or_default();
+        info!(task = %order.task, run = order.run, host = %order.host,
+            epoch = self.epoch, registry_age_ms = self.registry_age().0,
+            cpu = capacity.cpu, used_cpu = used.cpu, "owner: ordering a start.");
+        self.start_times.insert(order.task, self.shared.now());
+        if let Some(link) = self.links.get(&order.host) {
+            link.start(order);
+        }
+    }
+
+    /// Logs that a run ended without a report, and what proves it.
+    fn report_release(&self, host: &HostId, task: TaskName, run: u32, proof: Proof) {
+        self.shared.metrics.count("released", &proof.to_string());
+        if proof == Proof::Refused {
+            return;
+        }
+        let now = self.shared.now();
+        let ran_ms = self.start_times.get(&task).map(|at| now.since(*at).0);
+        let owned_ms = now.since(self.began).0;
+        info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms,
+            "owner: the run ended without a report.");
+    }
+
     /// Logs the loss of a host with its runs.
-    fn report_loss(
-        &self,
-        host: &HostId,
-        runs: usize,
-        suspects: &[(TaskName, u32)],
-        convicted: &[WorkflowId],
-    ) {
+    fn report_loss(&self, host: &HostId, runs: usize, suspects: &[(TaskName, u32)]) {
         let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
         info!(%host, runs, suspects = names.join(" "), "owner: a host was lost with its runs.");
         self.shared.metrics.count(
@@ -558,10 +565,6 @@
                 "suspects"
             },
         );
-        for job in convicted {
-            info!(%job, %host,
-                "owner: hosts crash under a task of the job; the job is given up.");
-        }
     }
 
     /// Calls the advice service through the gate that the scheduler chose.
