Add a model of ownership and task leases as gates serve them

Change: the test target lease_model tries seeded random schedules of three gates, a store, and an executor that one gate may reach alone, on a clock that is up to 2% slow. Cuts, frozen gates, slow, lost and late calls, outages of the store with leases that pause or end, and removals of the ownership are steps. The gates drive the real HostLease, Tenure and WorkflowScheduler; store, executor and network are simulated. A run that exists after the owner has counted it as ended, or while its task starts elsewhere, breaks the rule. Five sets of constants; each of ten guards is left out in turn, and the schedules must then break the rule.

With restarts under the same identifier two tests are red and listed: a run that was ordered before the restart and started after it counts as lost while reports list it.

--- /dev/null
+++ b/wigeongate-core/tests/lease_model/main.rs
@@ -0,0 +1,277 @@
+//! Random schedules of ownership and task leases as gates serve them, against the real types.
+//!
+//! Gates take the ownership from each other, and an executor that one of them may reach alone runs
+//! tasks on a slow clock. At no moment may a run exist that the owner has counted as ended.
+
+mod executor;
+mod model;
+mod store;
+
+use std::ops::Range;
+
+use self::model::{Model, OmittedGuard, Reached, Restarts, Setting};
+
+/// The constants of the product.
+const PRODUCT: Setting = Setting {
+    name: "the constants of the product",
+    ttl: 1_200,
+    task_lease: 6_000,
+    renewal: 300,
+    renewal_limit: 1_200,
+    goes_on: 7_200,
+    poll_wait: 1_500,
+    poll_limit: 900,
+    drift_per_mille: 20,
+    restarts: Restarts::Never,
+};
+
+/// A lease of the ownership that outlasts slow renewals.
+const SLOW_STORE: Setting = Setting {
+    name: "a slow store",
+    ttl: 3_000,
+    renewal: 900,
+    renewal_limit: 2_500,
+    goes_on: 10_000,
+    ..PRODUCT
+};
+
+/// Leases on which the drift of a clock counts.
+const LONG_LEASES: Setting = Setting {
+    name: "long task leases",
+    task_lease: 40_000,
+    goes_on: 41_200,
+    ..PRODUCT
+};
+
+/// Leases that hardly outlast a poll.
+const SHORT_LEASES: Setting = Setting {
+    name: "short task leases",
+    task_lease: 2_000,
+    goes_on: 3_000,
+    poll_wait: 400,
+    poll_limit: 400,
+    ..PRODUCT
+};
+
+/// Owners that go on for far longer than their grants last.
+const LASTING_OWNERS: Setting = Setting {
+    name: "owners that go on for long",
+    goes_on: 30_000,
+    renewal: 100,
+    ..PRODUCT
+};
+
+/// Constants, and the schedules that are tried with them.
+struct Case {
+    setting: Setting,
+    seeds: Range<u64>,
+}
+
+/// What an exploration found.
+struct Found {
+    reached: Reached,
+    /// The steps of the first schedule that broke the rule.
+    trace: Option<String>,
+}
+
+/// Tries schedules until one breaks the rule.
+fn explore(setting: Setting, omitted: OmittedGuard, seeds: Range<u64>) -> Found {
+    let mut reached = Reached::default();
+    for seed in seeds {
+        let mut model = Model::new(setting, omitted, seed);
+        model.run();
+        reached += model.reached;
+        if model.violation.is_some() {
+            let trace = Some(trace(setting, omitted, seed));
+            return Found { reached, trace };
+        }
+    }
+    Found {
+        reached,
+        trace: None,
+    }
+}
+
+/// Runs a schedule again and returns its steps and its violation.
+fn trace(setting: Setting, omitted: OmittedGuard, seed: u64) -> String {
+    let mut model = Model::new(setting, omitted, seed);
+    model.trace = Some(Vec::new());
+    model.run();
+    let steps = model.trace.unwrap_or_default().join("\n");
+    let violation = model.violation.unwrap_or_default();
+    format!("seed {seed}\n{steps}\n{violation}")
+}
+
+/// Requires that no schedule of any case breaks the rule.
+fn assert_kept(cases: &[Case]) -> Reached {
+    let mut reached = Reached::default();
+    for case in cases {
+        let found = explore(case.setting, OmittedGuard::None, case.seeds.clone());
+        println!("{}: {:?}", case.setting.name, found.reached);
+        if let Some(trace) = found.trace {
+            panic!("{}: {trace}", case.setting.name);
+        }
+        reached += found.reached;
+    }
+    reached
+}
+
+const CASES: &[Case] = &[
+    Case {
+        setting: PRODUCT,
+        seeds: 1..800,
+    },
+    Case {
+        setting: SLOW_STORE,
+        seeds: 1..300,
+    },
+    Case {
+        setting: LONG_LEASES,
+        seeds: 1..150,
+    },
+    Case {
+        setting: SHORT_LEASES,
+        seeds: 1..300,
+    },
+    Case {
+        setting: LASTING_OWNERS,
+        seeds: 1..300,
+    },
+];
+
+/// Guards against tasks that run twice after the zone of the owner was cut off (TWICE).
+#[test]
+fn no_run_exists_that_the_owner_counts_as_ended() {
+    let reached = assert_kept(CASES);
+    assert!(
+        reached.takeovers > 5_000
+            && reached.returns > 2_000
+            && reached.expiries > 1_000
+            && reached.starts > 2_000
+            && reached.late_calls > 500
+            && reached.restarts == 0,
+        "the schedules reach too little: {reached:?}"
+    );
+}
+
+/// A part of the rule, and where its omission shows.
+struct OmissionCase {
+    omitted: OmittedGuard,
+    setting: Setting,
+    seeds: Range<u64>,
+}
+
+const OMISSION_CASES: &[OmissionCase] = &[
+    OmissionCase {
+        omitted: OmittedGuard::GrantBound,
+        setting: PRODUCT,
+        seeds: 1..30,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::RenewalSent,
+        setting: SLOW_STORE,
+        seeds: 200..300,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::InheritedTtl,
+        setting: PRODUCT,
+        seeds: 1..30,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::InheritedGrant,
+        setting: PRODUCT,
+        seeds: 1..30,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::InheritedDrift,
+        setting: LONG_LEASES,
+        seeds: 1..60,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::LeaseRevocation,
+        setting: PRODUCT,
+        seeds: 950..1_050,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::Fence,
+        setting: SLOW_STORE,
+        seeds: 200..250,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::SentPolls,
+        setting: PRODUCT,
+        seeds: 100..150,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::SilentHosts,
+        setting: LASTING_OWNERS,
+        seeds: 950..1_000,
+    },
+    OmissionCase {
+        omitted: OmittedGuard::WrittenStarts,
+        setting: PRODUCT,
+        seeds: 1..30,
+    },
+];
+
+#[test]
+fn omitting_a_guard_lets_a_run_outlive_its_count() {
+    for case in OMISSION_CASES {
+        let whole = explore(case.setting, OmittedGuard::None, case.seeds.clone());
+        assert_eq!(whole.trace, None, "the complete rule is kept");
+        let found = explore(case.setting, case.omitted, case.seeds.clone());
+        let trace = found.trace.unwrap_or_default();
+        println!(
+            "{:?}: {}",
+            case.omitted,
+            trace.lines().last().unwrap_or_default()
+        );
+        assert!(!trace.is_empty(), "{:?} is not needed", case.omitted);
+    }
+}
+
+const RESTART_CASES: &[Case] = &[
+    Case {
+        setting: Setting {
+            restarts: Restarts::Closed,
+            ..PRODUCT
+        },
+        seeds: 1..300,
+    },
+    Case {
+        setting: Setting {
+            restarts: Restarts::Closed,
+            ..SLOW_STORE
+        },
+        seeds: 1..300,
+    },
+];
+
+#[test]
+#[ignore = "KNOWN-RED: a run that a host reports counts as lost with its earlier boot (issue 36)"]
+fn a_run_on_a_restarted_host_is_not_lost_with_the_earlier_boot() {
+    assert_kept(RESTART_CASES);
+}
+
+const LATE_CASES: &[Case] = &[
+    Case {
+        setting: Setting {
+            restarts: Restarts::InTime,
+            ..PRODUCT
+        },
+        seeds: 1..300,
+    },
+    Case {
+        setting: Setting {
+            restarts: Restarts::Late,
+            ..PRODUCT
+        },
+        seeds: 1..300,
+    },
+];
+
+#[test]
+#[ignore = "KNOWN-RED: a call for an earlier boot reaches the next one (issue 36)"]
+fn a_call_for_an_earlier_boot_lets_no_run_outlive_its_count() {
+    assert_kept(LATE_CASES);
+}
