Keep a run that the new boot of its host reports

Cause: an order names the identifier of the executor, not its boot. One that was planned before a restart and waited for a connection starts its run on the new boot. The first report of the new boot listed the run; the owner still counted it as lost with the boot for which it was planned, took it up again from the same report, but wrote that it was lost. A later owner that reads the log then knows of no run, and starts the task elsewhere if the host is silent.

Change: a run that a report lists as running or ended belongs to the boot that reports it, so that only runs that it does not list are lost with an earlier boot.

Two rarer cases are listed: an owner that thaws, and a start that is answered by the next boot.

--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -28,7 +28,7 @@
             // An answer of the earlier boot was overtaken by one of the current boot.
             return;
         }
-        self.end_boot_runs(id, report.boot_ms, now, out);
+        self.end_boot_runs(id, report, now, out);
         if !rebooted {
             self.acquit(id, out);
         }
@@ -62,14 +62,28 @@
     }
 
     /// Ends the runs of an earlier boot. An unanswered order may still reach the new one, so its run
-    /// is kept.
-    fn end_boot_runs(&mut self, id: &HostId, boot_ms: u64, now: Millis, out: &mut Vec<Action>) {
-        let Some(host) = self.hosts.get(id) else {
+    /// is kept. An order that was planned for the earlier boot may have reached the new one, which
+    /// then reports its run.
+    fn end_boot_runs(
+        &mut self,
+        id: &HostId,
+        report: &HostReport,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
+        let running = report.running.iter().map(|it| (it.task, it.run));
+        let ended = report.ended.iter().map(|it| (it.task, it.run));
+        for run in running.chain(ended) {
+            if let Some(claim) = host.claims.get_mut(&run) {
+                claim.boot_ms = report.boot_ms;
+            }
+        }
         let is_lost = |claim: &Claim| {
             let settled = claim.stage != Stage::Uncertain && claim.stage != Stage::Ordered;
-            settled && claim.boot_ms != 0 && claim.boot_ms != boot_ms
+            settled && claim.boot_ms != 0 && claim.boot_ms != report.boot_ms
         };
         let runs: Vec<RunKey> = host
             .claims
