--- a/wigeongate-core/tests/workflow/verdicts.rs
+++ b/wigeongate-core/tests/workflow/verdicts.rs
@@ -244,7 +244,7 @@
             let crashes = world.crashes_by(task(1, 0, 0));
             assert!(crashes <= most, "{day:?} {seed}: {crashes}");
             let status = world.status(1);
-            assert_eq!(status, Some(WorkflowStatus::Failed), "{day:?} {seed}");
+            assert_eq!(status, Some(WorkflowStatus::Failed), "{} {seed}", day.name);
         }
     }
 }
