Bind a start that waits to what was known when it was ordered

Cause: a start read its deadline when it was sent, up to seconds after the scheduler had ordered it. (1) Without any restart: a host is silent until all its leases have expired, its runs count as ended and their tasks start elsewhere; then the host answers a poll, the start that still waits takes the new deadline and is carried out. (2) An owner is frozen, another one takes over and counts the runs of the host, which it does not reach, as ended; the host restarts and knows no fence. The old owner thaws and, until its renewal is answered, still may order: the start that waited goes out and lasts a full lease from its arrival on the new boot.

Change: a start is planned with the deadline and the boot of the moment at which it is ordered, so that the leases that the scheduler knows cover it. It is sent only if that boot is still the newest one known and if its run ends by the last grant of the ownership also when it counts from the arrival (an order is under way for 0.7 s at most). It is refused as not sent otherwise, and the task is planned anew. Both guards answer the same question, whether a waiting order still rests on what it was ordered on, and are one change.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -47,5 +47,5 @@
 
 pub use self::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
 pub use self::host::HostEntry;
-pub use self::host_lease::{HostLease, Poll};
+pub use self::host_lease::{HostLease, Poll, StartLease};
 pub use self::job::WorkflowStatus;
--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -16,6 +16,9 @@
 /// The longest time that a call is under way, in milliseconds; its connection is closed after that.
 const MAX_CALL_MS: u64 = 2_400;
 
+/// The longest time that an order is under way, in milliseconds.
+const MAX_ORDER_MS: u64 = 700;
+
 /// A poll that is about to be sent. Its deadline and number only mean something to the boot for
 /// which it was planned; another one may still carry it out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,6 +36,15 @@
     pub runs_until: Millis,
 }
 
+/// The lease of a start that was ordered and not sent yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartLease {
+    /// The boot for which it was planned, in milliseconds since 1970.
+    pub boot_ms: u64,
+    /// The deadline to send, in milliseconds of the executor's clock.
+    pub deadline: u64,
+}
+
 /// The last known state of one boot of an executor: its clock, the leases that it was given and the
 /// ends that it may forget. Nothing is kept for another boot.
 #[derive(Debug, Clone, Copy, Default)]
@@ -96,6 +108,21 @@
         (self.confirmed > 0).then_some(self.confirmed)
     }
 
+    /// Plans a start that was ordered just now; `None` without a confirmed deadline. The start may
+    /// wait before it is sent, and the order counts as ended with the leases that were known here.
+    pub fn plan_start(&self) -> Option<StartLease> {
+        let boot_ms = self.boot_ms;
+        self.deadline()
+            .map(|deadline| StartLease { boot_ms, deadline })
+    }
+
+    /// Returns whether a planned start may be sent at `now`: the boot for which it was planned is the
+    /// newest one known, and its run ends by `last_grant`. A boot that is not known yet may carry it
+    /// out, and shortens the deadline to the longest lease from the arrival.
+    pub fn may_send(&self, start: &StartLease, now: Millis, last_grant: Millis) -> bool {
+        start.boot_ms == self.boot_ms && now + Millis(MAX_ORDER_MS) + self.lease <= last_grant
+    }
+
     /// Returns the time until which leases are confirmed, on the caller's clock.
     pub fn confirmed_until(&self) -> Millis {
         self.local(self.confirmed)
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -11,7 +11,8 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    HostEntry, HostLease, HostReport, PollFailure, Refusal, StartOrder, StartResult, StopOrder,
+    HostEntry, HostLease, HostReport, PollFailure, Refusal, StartLease, StartOrder, StartResult,
+    StopOrder,
 };
 use wigeongate_platform::executor::{ExecutorClient, PollError, Target};
 use wigeongate_platform::http::CallError;
@@ -155,7 +156,9 @@
     /// Sends an order to start a run; the owner gets the result as an event.
     pub fn start(&self, order: StartOrder) {
         let state = Arc::clone(&self.state);
-        tokio::spawn(async move { state.start(order).await });
+        // The scheduler counts the run as ended once the leases of this moment have expired.
+        let planned = locked(&state.lease).plan_start();
+        tokio::spawn(async move { state.start(order, planned).await });
     }
 
     /// Sends an order to stop a run; the owner gets an event when the executor accepts it.
@@ -312,22 +315,25 @@
         }
     }
 
-    async fn start(&self, order: StartOrder) {
+    async fn start(&self, order: StartOrder, planned: Option<StartLease>) {
         let _slot = self.order_slots.acquire().await;
         let started = self.shared.now();
         let run = (order.task, order.run);
-        let deadline = locked(&self.lease).deadline();
+        let may_send =
+            |start: &StartLease| locked(&self.lease).may_send(start, started, self.last_grant());
         let orders_allowed = self.orders_allowed.load(Ordering::Relaxed);
-        let result = match deadline.filter(|_| orders_allowed) {
+        let result = match planned.filter(|start| orders_allowed && may_send(start)) {
             None => StartResult::Refused(Refusal::NotSent),
-            Some(deadline) => match self.executors.start(&self.target(), &order, deadline).await {
-                Ok(result) => result,
-                Err(error) => {
-                    info!(task = %order.task, run = order.run, %error,
+            Some(StartLease { deadline, .. }) => {
+                match self.executors.start(&self.target(), &order, deadline).await {
+                    Ok(result) => result,
+                    Err(error) => {
+                        info!(task = %order.task, run = order.run, %error,
                         "hosts: the outcome of the start is unknown.");
-                    StartResult::Unknown
+                        StartResult::Unknown
+                    }
                 }
-            },
+            }
         };
         match result {
             StartResult::Refused(refusal) => {
