Take the rate of unexplained crashes once for each lost host

It was taken anew for each suspect, over all hosts and their runs, which on hundreds of hosts that crash together would be millions of steps in one tick. No decision changes: only a task that has crashed another host needs a rate of its own.

--- a/wigeongate-core/src/workflow/evidence.rs
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -237,10 +237,9 @@
     }
 
     /// Returns the rate of unexplained crashes around the death of a host, in its service or its
-    /// zone, without those of the hosts that crashed under the same task.
-    pub(super) fn base_rate(&self, host: &Host, task: TaskName, now: Millis) -> BaseRate {
+    /// zone, without those of the hosts in the evidence against a task.
+    fn base_rate(&self, host: &Host, own: &[Evidence], now: Millis) -> BaseRate {
         let died = host.failing.map_or(now, |failing| failing.since);
-        let own = self.evidence(task);
         let is_other = |id: &HostId| *id != host.entry.id && own.iter().all(|it| it.host != *id);
         let in_service = |other: &Host| other.entry.service == host.entry.service;
         let fleet = || self.hosts.values().filter(|other| in_service(other));
@@ -295,9 +294,32 @@
         rate
     }
 
-    /// Returns what the loss of a host proves against a run on it.
-    pub(super) fn weigh(&self, id: &HostId, key: RunKey, now: Millis) -> Option<Evidence> {
-        let host = self.hosts.get(id)?;
+    /// Returns what the loss of a host proves against runs on it.
+    pub(super) fn weigh(
+        &self,
+        id: &HostId,
+        runs: &[RunKey],
+        now: Millis,
+    ) -> Vec<(TaskName, Evidence)> {
+        let Some(host) = self.hosts.get(id) else {
+            return Vec::new();
+        };
+        // Most tasks have crashed no other host, and share one rate.
+        let shared = self.base_rate(host, &[], now);
+        let evidence = runs.iter().filter_map(|key| {
+            let own = self.evidence(key.0);
+            let rate = if own.iter().any(|it| it.host != *id) {
+                self.base_rate(host, own, now)
+            } else {
+                shared
+            };
+            Some((key.0, self.weigh_run(host, *key, rate, now)?))
+        });
+        evidence.collect()
+    }
+
+    fn weigh_run(&self, host: &Host, key: RunKey, rate: BaseRate, now: Millis) -> Option<Evidence> {
+        let id = &host.entry.id;
         let claim = host.claims.get(&key)?;
         let known = self.evidence(key.0).iter().find(|it| it.run == key.1);
         let age = latest_death(host, now).since(claim.since);
@@ -310,7 +332,6 @@
             known.map_or((age, false), |known| (known.age, known.unanswered))
         };
         let loss = self.losses.iter().rfind(|loss| loss.host == *id);
-        let rate = self.base_rate(host, key.0, now);
         Some(Evidence {
             run: key.1,
             host: id.clone(),
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -119,13 +119,10 @@
         let machine = host.entry.address.clone();
         self.note_loss(id, now);
         let mut blame = blame;
-        let weigh = |key: &RunKey| self.weigh(id, *key, now);
-        blame.evidence = blame.suspects.iter().filter_map(weigh).collect();
+        let evidence = self.weigh(id, &blame.suspects, now);
+        blame.evidence = evidence.into_iter().map(|(_, it)| it).collect();
         blame.sole &= blame.evidence.iter().all(Evidence::is_ground);
-        let others = blame.others(&lost);
-        let others = others.into_iter();
-        let others = others.filter_map(|key| Some((key.0, self.weigh(id, key, now)?)));
-        let others = others.collect();
+        let others = self.weigh(id, &blame.others(&lost), now);
         self.accusations.extend(blame.accusation(others, &machine));
         let excess = self.accusations.len().saturating_sub(MAX_ACCUSATIONS);
         self.accusations.drain(..excess);
@@ -236,12 +233,14 @@
             if trial.is_some_and(|trial| trial.job != job) {
                 // All other runs were there before, and nothing starts beside a trial.
                 Millis(OLD_MS)
-            } else if host.has_reported() && claim.batch == 0 {
-                died.since(claim.since)
-            } else if host.has_reported() && claim.batch != host.newest_batch {
-                died.since(claim.since).max(Millis(YOUNG_MS))
             } else if host.has_reported() {
-                died.since(claim.since)
+                let age = died.since(claim.since);
+                let is_earlier = claim.batch > 0 && claim.batch != host.newest_batch;
+                if is_earlier {
+                    age.max(Millis(YOUNG_MS))
+                } else {
+                    age
+                }
             } else if claim.batch == host.newest_batch {
                 // This owner knows only the order in which an earlier one started the runs.
                 Millis::ZERO
@@ -338,11 +337,11 @@
         let host = self.hosts.get_mut(id);
         let blame = host.and_then(|host| host.blame.take()).unwrap_or_default();
         let mut convicted = Vec::new();
-        for (task, run) in &blame.suspects {
+        for (task, evidence) in self.weigh(id, &blame.suspects, now) {
+            self.record_evidence(task, evidence, out);
+        }
+        for (task, _) in &blame.suspects {
             let job = task.step.job;
-            if let Some(evidence) = self.weigh(id, (*task, *run), now) {
-                self.record_evidence(*task, evidence, out);
-            }
             if let Some(job) = self.jobs.get_mut(&job) {
                 job.crashed = now;
             }
