Pause gates whose advice calls get no answer

Cause: a failed call left no trace. The gate counted as idle at once, and among idle gates the first by name got the call, so that a gang that asked again got the same gate for good.

A gate pauses after a call without an answer, 0.5 s at first and up to 4 s; others make its calls, those for long calls included. A gate with an overdue answer begins no call, and among idle gates the one that has waited longest comes first.

--- a/wigeongate-core/src/workflow/advice_gates.rs
+++ b/wigeongate-core/src/workflow/advice_gates.rs
@@ -8,6 +8,9 @@
 //! too early: when its answer comes, other tickets have expired and the room is gone. So a call is
 //! made only when a gate can begin it, and until then its step keeps its place in the order of the
 //! placement pass.
+//!
+//! A gate may go on greeting while its calls get no answer, as its path to the service is cut or the
+//! calls of an earlier owner stand in its queue. It pauses then, and others make its calls.
 
 use std::collections::BTreeMap;
 
@@ -31,6 +34,14 @@
 /// The longest wait of a call for its gate, in milliseconds; a gate stays busy meanwhile.
 pub(super) const MAX_WAIT_MS: u64 = 100;
 
+/// The first pause of a gate after a call without an answer, in milliseconds; it doubles with each
+/// further one up to [`MAX_PAUSE_MS`].
+const FIRST_PAUSE_MS: u64 = 500;
+
+/// The longest pause of a gate, in milliseconds; it bounds how long one that answers again is not
+/// asked.
+const MAX_PAUSE_MS: u64 = 4_000;
+
 /// The duration above which an advice call counts as long, in milliseconds: a short job that waits
 /// behind a long call would miss its objective.
 const LONG_CALL_MS: u64 = 200;
@@ -59,6 +70,13 @@
     idle_at: Millis,
     /// The expected time of the calls that are not answered, in milliseconds.
     unanswered_ms: u64,
+    /// Number of the call that it was given last; among idle gates the one that waits longest comes
+    /// first.
+    last_call: u64,
+    /// Until when it gets no call, since it gave no answer.
+    paused_until: Millis,
+    /// The next pause, in milliseconds; zero after an answer.
+    pause_ms: u64,
 }
 
 /// A gate that makes an advice call.
@@ -73,57 +91,76 @@
 }
 
 impl Gate {
+    const fn new(now: Millis) -> Self {
+        Self {
+            address: None,
+            greeted: now,
+            idle_at: now,
+            unanswered_ms: 0,
+            last_call: 0,
+            paused_until: Millis::ZERO,
+            pause_ms: 0,
+        }
+    }
+
     /// Returns the key by which calls are assigned; the smallest comes first.
-    fn order(&self, now: Millis) -> (Millis, bool, bool) {
-        // An overdue call keeps the gate busy for an unknown time.
-        let is_overdue = self.unanswered_ms > 0 && self.idle_at <= now;
-        (self.idle_at.max(now), is_overdue, self.address.is_none())
+    fn order(&self, now: Millis) -> (bool, Millis, bool, u64) {
+        let is_local = self.address.is_none();
+        (
+            self.is_overdue(now),
+            self.idle_at.max(now),
+            is_local,
+            self.last_call,
+        )
+    }
+
+    /// Returns whether its answer is late, so that it is busy for an unknown time.
+    fn is_overdue(&self, now: Millis) -> bool {
+        self.unanswered_ms > 0 && self.idle_at <= now
     }
 }
 
 /// The gates that can call the advice service, with their backlogs.
 #[derive(Debug, Default)]
-pub struct AdviceGates(BTreeMap<GateId, Gate>);
+pub struct AdviceGates {
+    gates: BTreeMap<GateId, Gate>,
+    /// The number of calls that were assigned.
+    calls: u64,
+}
 
 impl AdviceGates {
     /// Creates a set that contains only the local gate.
     pub fn new(own: GateId, now: Millis) -> Self {
-        let gate = Gate {
-            address: None,
-            greeted: now,
-            idle_at: now,
-            unanswered_ms: 0,
-        };
-        Self(BTreeMap::from([(own, gate)]))
+        Self {
+            gates: BTreeMap::from([(own, Gate::new(now))]),
+            calls: 0,
+        }
     }
 
     /// Records a greeting and the address that the gate sent with it.
     pub fn record_greeting(&mut self, gate: GateId, address: String, now: Millis) {
-        let gate = self.0.entry(gate).or_insert(Gate {
-            address: None,
-            greeted: now,
-            idle_at: now,
-            unanswered_ms: 0,
-        });
+        let gate = self.gates.entry(gate).or_insert_with(|| Gate::new(now));
         gate.address = Some(address);
         gate.greeted = now;
     }
 
     /// Returns the addresses of the gates other than the local one.
     pub fn other_addresses(&self) -> impl Iterator<Item = &str> {
-        self.0.values().filter_map(|gate| gate.address.as_deref())
+        self.gates
+            .values()
+            .filter_map(|gate| gate.address.as_deref())
     }
 
     /// Returns the number of gates, including the local one.
     pub fn count(&self) -> usize {
-        self.0.len()
+        self.gates.len()
     }
 
     /// Returns whether a gate can begin a call that takes `cost_ms` milliseconds shortly.
     pub fn can_begin(&mut self, cost_ms: u64, now: Millis) -> bool {
         self.drop_silent(now);
         self.least_busy(cost_ms, now)
-            .is_some_and(|gate| gate.idle_at.since(now).0 <= MAX_WAIT_MS)
+            .is_some_and(|gate| !gate.is_overdue(now) && gate.idle_at.since(now).0 <= MAX_WAIT_MS)
     }
 
     /// Assigns a call that takes `cost_ms` milliseconds to the gate with the shortest backlog;
@@ -131,15 +168,17 @@
     pub fn assign(&mut self, cost_ms: u64, now: Millis) -> Option<AssignedGate> {
         self.drop_silent(now);
         let id = self
-            .usable(cost_ms)
+            .usable(cost_ms, now)
             .min_by_key(|(_, gate)| gate.order(now))
             .map(|(id, _)| id.clone())?;
-        let gate = self.0.get_mut(&id)?;
+        let gate = self.gates.get_mut(&id)?;
         if gate.idle_at.since(now).0 > MAX_BACKLOG_MS {
             return None;
         }
         gate.idle_at = gate.idle_at.max(now) + Millis(cost_ms);
         gate.unanswered_ms += cost_ms;
+        self.calls += 1;
+        gate.last_call = self.calls;
         Some(AssignedGate {
             address: gate.address.clone(),
             answer_ms: gate.idle_at.since(now).0,
@@ -148,32 +187,41 @@
     }
 
     /// Records that a gate's call that was to take `cost_ms` milliseconds has ended: the others
-    /// that it was given are still to be made.
-    pub fn finish(&mut self, id: &GateId, cost_ms: u64, now: Millis) {
-        if let Some(gate) = self.0.get_mut(id) {
-            gate.unanswered_ms = gate.unanswered_ms.saturating_sub(cost_ms);
-            gate.idle_at = now + Millis(gate.unanswered_ms);
+    /// that it was given are still to be made. Without an answer the gate pauses.
+    pub fn finish(&mut self, id: &GateId, cost_ms: u64, is_answered: bool, now: Millis) {
+        let Some(gate) = self.gates.get_mut(id) else {
+            return;
+        };
+        gate.unanswered_ms = gate.unanswered_ms.saturating_sub(cost_ms);
+        gate.idle_at = now + Millis(gate.unanswered_ms);
+        if is_answered {
+            gate.pause_ms = 0;
+        } else {
+            gate.pause_ms = (gate.pause_ms * 2).clamp(FIRST_PAUSE_MS, MAX_PAUSE_MS);
+            gate.paused_until = now + Millis(gate.pause_ms);
         }
     }
 
     fn drop_silent(&mut self, now: Millis) {
-        self.0.retain(|_, gate| {
+        self.gates.retain(|_, gate| {
             gate.address.is_none() || now.since(gate.greeted).0 < GREETING_TIMEOUT_MS
         });
     }
 
     /// Returns the gates that may take a call of this duration.
-    fn usable(&self, cost_ms: u64) -> impl Iterator<Item = (&GateId, &Gate)> {
+    fn usable(&self, cost_ms: u64, now: Millis) -> impl Iterator<Item = (&GateId, &Gate)> {
+        let answers = move |(_, gate): &(&GateId, &Gate)| gate.paused_until <= now;
+        let total = self.gates.iter().filter(answers).count();
         let count = if cost_ms > LONG_CALL_MS {
-            (self.0.len() * LONG_CALL_GATES_PERCENT).div_ceil(100)
+            (total * LONG_CALL_GATES_PERCENT).div_ceil(100)
         } else {
-            self.0.len()
+            total
         };
-        self.0.iter().take(count)
+        self.gates.iter().filter(answers).take(count)
     }
 
     fn least_busy(&self, cost_ms: u64, now: Millis) -> Option<&Gate> {
-        let gates = self.usable(cost_ms).map(|(_, gate)| gate);
+        let gates = self.usable(cost_ms, now).map(|(_, gate)| gate);
         gates.min_by_key(|gate| gate.order(now))
     }
 }
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -366,7 +366,7 @@
         for (job, gate, cost_ms) in calls {
             order.push(job);
             let gates = scheduler.advice_gates_mut();
-            gates.finish(&gate.id, cost_ms, now + Millis(150));
+            gates.finish(&gate.id, cost_ms, true, now + Millis(150));
         }
     }
     assert_eq!(order, [3, 4, 2], "the oldest asks first");
--- a/wigeongate-core/tests/workflow/gang_rounds.rs
+++ b/wigeongate-core/tests/workflow/gang_rounds.rs
@@ -46,6 +46,8 @@
     age: Millis,
     /// Until when all hosts are full, in milliseconds.
     full_ms: u64,
+    /// How many of the gates greet the owner and answer no call.
+    dead: u64,
 }
 
 /// An advice call at a gate.
@@ -53,6 +55,7 @@
     gate: GateId,
     cost_ms: u64,
     ends: u64,
+    is_answered: bool,
     step: StepId,
     hosts: Vec<HostId>,
 }
@@ -67,7 +70,15 @@
 }
 
 impl Service {
-    fn begin(&mut self, now: Millis, mut call: Call) {
+    fn begin(&mut self, now: Millis, mut call: Call, dead: u64) {
+        let number = call.gate.as_str()["gate-".len()..].parse::<u64>();
+        call.is_answered = number.expect("a number") >= dead;
+        if !call.is_answered {
+            // The owner waits for twice as long.
+            call.ends = now.0 + 2 * call.cost_ms;
+            self.calls.push(call);
+            return;
+        }
         let busy_until = self.busy_until.entry(call.gate.clone()).or_default();
         call.ends = now.0.max(*busy_until) + call.cost_ms;
         *busy_until = call.ends;
@@ -142,13 +153,7 @@
     }
 }
 
-/// Plays gangs of eight tasks of two cores on hosts with room for twice as many; returns when each
-/// gang started, and the calls that were made.
-fn play(case: &Case) -> (Vec<Millis>, u64) {
-    let gangs = usize::try_from(case.gangs).expect("a few gangs");
-    let hosts = gangs * 4;
-    let mut scheduler = scheduler(hosts);
-    let mut service = Service::default();
+fn submit_gangs(scheduler: &mut WorkflowScheduler, case: &Case, hosts: usize) {
     let busy = u32::try_from(hosts * 8).expect("a few tasks");
     scheduler.submit(flow(1, vec![step(busy, CORE)], None), NOW, Millis::ZERO);
     for job in 2..2 + case.gangs {
@@ -159,6 +164,16 @@
         };
         scheduler.submit(flow(job, vec![spec], None), NOW, case.age);
     }
+}
+
+/// Plays gangs of eight tasks of two cores on hosts with room for twice as many; returns when each
+/// gang started, and the calls that were made.
+fn play(case: &Case) -> (Vec<Millis>, u64) {
+    let gangs = usize::try_from(case.gangs).expect("a few gangs");
+    let hosts = gangs * 4;
+    let mut scheduler = scheduler(hosts);
+    let mut service = Service::default();
+    submit_gangs(&mut scheduler, case, hosts);
     let mut starts = Vec::new();
     let mut started: HashSet<StepId> = HashSet::default();
     let mut running: HashMap<HostId, Vec<Running>> = HashMap::default();
@@ -175,8 +190,12 @@
         }
         for call in service.answered(now) {
             let gates = scheduler.advice_gates_mut();
-            gates.finish(&call.gate, call.cost_ms, now);
+            gates.finish(&call.gate, call.cost_ms, call.is_answered, now);
             let Call { step, hosts, .. } = call;
+            if !call.is_answered {
+                scheduler.apply_advice(step, &hosts, None, now);
+                continue;
+            }
             let allowed = hosts.iter().filter(|host| is_allowed(host, step));
             let advice = Advice {
                 allowed: allowed.map(|host| (host.clone(), String::new())).collect(),
@@ -201,10 +220,11 @@
                         gate: gate.id,
                         cost_ms,
                         ends: 0,
+                        is_answered: true,
                         step,
                         hosts,
                     };
-                    service.begin(now, call);
+                    service.begin(now, call, case.dead);
                 }
                 Action::Start(order) => {
                     if started.insert(order.task.step) {
@@ -231,27 +251,40 @@
 /// reborn-thrice).
 #[test]
 fn gangs_start_within_three_rounds_of_advice_however_many_wait() {
-    let case = |name, gangs, gates, age, full_ms| Case {
+    let case = |name, gangs, gates, age, full_ms, dead| Case {
         name,
         gangs,
         gates,
         age: Millis(age),
         full_ms,
+        dead,
     };
     let cases = [
-        case("a few gangs", 4, 6, 0, 0),
-        case("many gangs", 24, 6, 0, 0),
-        case("many gangs that are late", 24, 6, 60_000, 0),
-        case("many gangs on a fleet that was full", 24, 6, 0, 4_000),
+        case("a few gangs", 4, 6, 0, 0, 0),
+        case("many gangs", 24, 6, 0, 0, 0),
+        case("many gangs that are late", 24, 6, 60_000, 0, 0),
+        case("many gangs on a fleet that was full", 24, 6, 0, 4_000, 0),
         case(
             "many late gangs on a fleet that was full",
             24,
             6,
             60_000,
             4_000,
+            0,
+        ),
+        case("many gangs and one gate", 12, 1, 60_000, 0, 0),
+        case("many gangs on many gates", 60, 30, 60_000, 4_000, 0),
+        case("a few gangs and a dead gate", 4, 6, 0, 0, 1),
+        case("a few gangs and three dead gates", 4, 6, 0, 0, 3),
+        case("many gangs and three dead gates", 24, 6, 60_000, 0, 3),
+        case(
+            "many gangs on many gates, one is dead",
+            60,
+            30,
+            60_000,
+            4_000,
+            1,
         ),
-        case("many gangs and one gate", 12, 1, 60_000, 0),
-        case("many gangs on many gates", 60, 30, 60_000, 4_000),
     ];
     for case in cases {
         let (starts, calls) = play(&case);
@@ -262,8 +295,9 @@
             "{name}: {calls} calls"
         );
         // Every long call has its turn, and each gang's tickets come one call after its verdicts.
-        let callers = (case.gates * 6).div_ceil(10);
-        let rounds = (CALLS_PER_GANG * case.gangs).div_ceil(callers) + 1;
+        // A gang may lose a call to each dead gate, which lasts two rounds.
+        let callers = ((case.gates - case.dead) * 6).div_ceil(10);
+        let rounds = (CALLS_PER_GANG * case.gangs).div_ceil(callers) + 1 + 2 * case.dead;
         let bound = Millis(case.full_ms + rounds * LONGEST_CALL_MS + PATIENCE_MS);
         let last = starts.iter().max().copied().unwrap_or_default();
         assert!(last <= bound, "{name}: {last} after {bound}");
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -326,7 +326,7 @@
             OwnerEvent::StopAnswered(host, run, at) => self.scheduler.stop_result(&host, run, at),
             OwnerEvent::AdviceAnswered(call, advice) => {
                 let gates = self.scheduler.advice_gates_mut();
-                gates.finish(&call.gate.id, call.cost_ms, now);
+                gates.finish(&call.gate.id, call.cost_ms, advice.is_some(), now);
                 self.scheduler
                     .apply_advice(call.step, &call.hosts, advice.as_ref(), now);
             }
