State the drift of an executor's clock once

Cause: how slow a clock may run stood as a constant in tenure.rs and in host_lease.rs; a change of one alone would let an owner and the next one disagree on when a run has ended.

Change: Tenure uses the function of HostLease.

Evidence: the tests of lease_model and workflow pass.

--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -208,6 +208,6 @@
 }
 
 /// Returns how long a time on an executor's clock may take.
-const fn slowest(ms: u64) -> Millis {
+pub(super) const fn slowest(ms: u64) -> Millis {
     Millis(ms + ms * CLOCK_DRIFT_PER_MILLE / 1_000)
 }
--- a/wigeongate-core/src/workflow/tenure.rs
+++ b/wigeongate-core/src/workflow/tenure.rs
@@ -9,15 +9,13 @@
 //! - a new owner, which takes over no earlier than `renewed`, counts the runs of a silent host as
 //!   running for `ttl + grant` from its takeover.
 
+use super::host_lease::slowest;
 use crate::time::Millis;
 
 /// How long beyond one task lease an owner goes on granting leases once its ownership has ended, in
 /// milliseconds. An outage of the store ends no work if it is shorter than this and a task lease.
 const OUTAGE_MS: u64 = 2_000;
 
-/// How much longer a lease lasts on the slowest executor's clock, in parts per thousand.
-const CLOCK_DRIFT_PER_MILLE: u64 = 21;
-
 /// The time for the transit of a call and its answer, in milliseconds.
 const TRANSIT_MS: u64 = 300;
 
@@ -39,9 +37,7 @@
 
     /// Returns how long after its takeover a new owner counts the runs of a silent host as running.
     pub fn inherited_lease(&self) -> Millis {
-        let grant = self.grant().0;
-        let slowest = grant + grant * CLOCK_DRIFT_PER_MILLE / 1_000;
-        self.ttl + Millis(slowest + TRANSIT_MS)
+        self.ttl + slowest(self.grant().0) + Millis(TRANSIT_MS)
     }
 
     fn grant(&self) -> Millis {
