Count a host as back once another boot of it answers

Callers saw trials of bad tasks wait: a host that restarts under its identifier was counted as away for 5 s, although it had answered after 3.2 s, so that the part of the fleet that suspects may use filled up.

Cause: the loss ended only when a new identifier was listed at the address. A new boot of the same identifier ended nothing, and was not kept in isolation either.

The report of a new boot now ends the loss like the listing of a successor does.

--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -29,7 +29,9 @@
             return;
         }
         self.end_boot_runs(id, report, now, out);
-        if !rebooted {
+        if rebooted {
+            self.isolate_successor(id, now);
+        } else {
             self.acquit(id, out);
         }
         let Some(host) = self.hosts.get_mut(id) else {
