Keep bad tasks from hiding each other in the base rate

Callers saw bad jobs that crash their hosts 50 to 500 ms after their start go on crashing: 24 hosts, 90 ms, 50 jobs a second for 10 s, one in 8 bad: up to 10 hosts for one job, 96 of 124 bad jobs open 40 s later.

Cause: a crash seen 100 ms or more after the start counted as unexplained, so that each bad task raised the base rate for all the others, which put off their verdicts, trials alone and late ranks.

A crash is now explained as well by a confirmed recent run of a task that has crashed a host right after an earlier start; the earlier crashes of a task are explained once it is the only suspect of another, or given up. So each bad task raises the rate by its first crash only. The ground to try a suspect alone is the chance of its crashes together; the verdict keeps its own bound.

--- a/wigeongate-core/src/workflow/evidence.rs
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -6,7 +6,7 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
-use super::crash::{Crash, OLD_MS};
+use super::crash::{Blame, Crash, OLD_MS, YOUNG_MS};
 use super::host::{Host, RunKey};
 use super::job::Job;
 use super::message::Action;
@@ -83,17 +83,17 @@
         f64::from(self.chance_ppb) / SCALE
     }
 
-    /// Returns whether the crash is a ground to try its suspect alone.
-    pub(super) fn is_ground(&self) -> bool {
-        self.chance() < SOLE_CHANCE
-    }
-
     /// Returns whether the crash counts against the queue of its suspect.
     pub(super) fn counts_against_queue(&self) -> bool {
         self.chance() < QUEUE_CHANCE
     }
 }
 
+/// Returns whether crashes with this chance are a ground to try their suspect alone.
+pub(super) fn is_ground(chance: f64) -> bool {
+    chance < SOLE_CHANCE
+}
+
 /// Returns whether crashes under a task of a job with this many tasks are too many to be a
 /// coincidence.
 pub(super) fn is_proof(crashes: &[Crash], evidence: &[Evidence], tasks: usize) -> bool {
@@ -176,15 +176,55 @@
     death(host).is_some() || (host.failing.is_none() && host.has_reported())
 }
 
-/// Returns whether a start on a host explains its death at this time.
-fn is_explained(host: &Host, died: Millis) -> bool {
-    // The times of starts by an earlier owner are not known.
-    let is_unknown = !host.has_reported();
-    let mut claims = host.claims.values();
-    claims.any(|claim| is_unknown || died.since(claim.since).0 < EXPLAINED_MS)
-}
-
 impl WorkflowScheduler {
+    /// Returns whether a start on a host explains its death at this time: one just before, or a
+    /// recent one of a task that has crashed another host as soon after its start.
+    fn is_explained(&self, host: &Host, died: Millis) -> bool {
+        // The times of starts by an earlier owner are not known.
+        let is_unknown = !host.has_reported();
+        host.claims.iter().any(|(key, claim)| {
+            let age_ms = died.since(claim.since).0;
+            let is_recent = claim.confirmed && age_ms < YOUNG_MS;
+            is_unknown || age_ms < EXPLAINED_MS || (is_recent && self.has_crashed(*key))
+        })
+    }
+
+    /// Returns whether an earlier run of a task crashed its host right after the start.
+    fn has_crashed(&self, (task, run): RunKey) -> bool {
+        let mut earlier = self.crashes(task).iter();
+        earlier.any(|crash| crash.young && crash.run != run)
+    }
+
+    /// Takes the earlier hosts that the only suspect of a crash has crashed for explained.
+    pub(super) fn explain_repeats(&mut self, id: &HostId, blame: &Blame) {
+        if !blame.sole || !blame.young {
+            return;
+        }
+        let is_confirmed = |key: &RunKey| {
+            let host = self.hosts.get(id);
+            host.and_then(|host| host.claims.get(key))
+                .is_some_and(|claim| claim.confirmed)
+        };
+        let repeats: Vec<TaskName> = blame
+            .suspects
+            .iter()
+            .filter(|key| is_confirmed(key) && self.has_crashed(**key))
+            .map(|key| key.0)
+            .collect();
+        for name in repeats {
+            self.explain_losses(name);
+        }
+    }
+
+    /// Takes the hosts that a task crashed for explained.
+    pub(super) fn explain_losses(&mut self, name: TaskName) {
+        let known = self.evidence(name).iter();
+        let hosts: HashSet<HostId> = known.map(|it| it.host.clone()).collect();
+        for loss in &mut self.losses {
+            loss.explained |= hosts.contains(&loss.host);
+        }
+    }
+
     /// Remembers the loss of a host, and whether a start on it explains it.
     pub(super) fn note_loss(&mut self, id: &HostId, now: Millis) {
         let memory_ms = 2 * SPANS_MS[2];
@@ -205,7 +245,7 @@
             service: host.entry.service.clone(),
             zone: host.entry.zone.clone(),
             at: died,
-            explained: is_explained(host, latest_death(host, now)),
+            explained: self.is_explained(host, latest_death(host, now)),
         };
         self.losses.push(loss);
     }
@@ -254,7 +294,7 @@
             let failing = other
                 .failing
                 .filter(|_| !is_known && !other.entry.draining)?;
-            if is_explained(other, failing.since) {
+            if self.is_explained(other, failing.since) {
                 return None;
             }
             Some((failing.since, &other.entry.zone))
@@ -344,6 +384,19 @@
         })
     }
 
+    /// Returns the chance of all crashes under each suspect right after its start.
+    pub(super) fn joint_chances(&self, blame: &Blame) -> impl Iterator<Item = f64> {
+        let suspects = blame.suspects.iter().zip(&blame.evidence);
+        suspects.map(|((task, run), last)| {
+            let is_young = |it: &&Evidence| {
+                let mut crashes = self.crashes(*task).iter();
+                it.run != *run && crashes.any(|crash| crash.run == it.run && crash.young)
+            };
+            let earlier = self.evidence(*task).iter().filter(is_young);
+            earlier.map(Evidence::chance).product::<f64>() * last.chance()
+        })
+    }
+
     /// Returns the evidence against a task.
     pub(super) fn evidence(&self, name: TaskName) -> &[Evidence] {
         self.jobs
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, YOUNG_MS};
-use super::evidence::{Evidence, is_dated};
+use super::evidence::{is_dated, is_ground};
 use super::host::{Claim, Host, RunKey, Stage};
 use super::isolation::Caution;
 use super::job::{Job, Phase, WorkflowStatus};
@@ -119,9 +119,11 @@
         let machine = host.entry.address.clone();
         self.note_loss(id, now);
         let mut blame = blame;
+        self.explain_repeats(id, &blame);
         let evidence = self.weigh(id, &blame.suspects, now);
         blame.evidence = evidence.into_iter().map(|(_, it)| it).collect();
-        blame.sole &= blame.evidence.iter().all(Evidence::is_ground);
+        let is_ground = self.joint_chances(&blame).all(is_ground);
+        blame.sole &= is_ground;
         let others = self.weigh(id, &blame.others(&lost), now);
         self.accusations.extend(blame.accusation(others, &machine));
         let excess = self.accusations.len().saturating_sub(MAX_ACCUSATIONS);
@@ -349,6 +351,7 @@
             if is_open && self.is_guilty(*task) && !convicted.contains(&job) {
                 convicted.push(job);
                 self.report_verdict(*task, out);
+                self.explain_losses(*task);
             }
         }
         out.push(Action::HostLost {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -1,6 +1,7 @@
 //! Runs jobs of several steps on fake executors: single cases, and random workloads with faults.
 
 mod advice;
+mod bad_queues;
 mod capacity;
 mod crashes;
 mod freshness;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -648,6 +648,8 @@
             let failing = self.rng.chance(self.faults.failing);
             let until = self.now + 100 + self.rng.below(500);
             let long_running = self.spec(order.task).is_some_and(|spec| spec.long_running);
+            // A deadly run does not end before it crashes its host.
+            let long_running = long_running || self.deadly.contains(&order.task);
             let executor = self
                 .executors
                 .get_mut(&order.host)
