--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod cancels;
 mod capacity;
+mod departures;
 mod outages;
 mod platform;
 mod restarts;
@@ -26,6 +27,22 @@
 /// The API key of the only team.
 const KEY: &str = "key-1";
 
+/// The bounds in the settings of a gate.
+struct GateBounds {
+    task_lease_ms: u64,
+    /// How long ended jobs are shown.
+    shown_s: u64,
+}
+
+impl Default for GateBounds {
+    fn default() -> Self {
+        Self {
+            task_lease_ms: 2_000,
+            shown_s: 120,
+        }
+    }
+}
+
 /// A gate process, which is killed on drop.
 struct Gate {
     process: Child,
@@ -74,18 +91,19 @@
 
     /// Starts a gate that uses this address of the store, and waits until it is ready.
     async fn start_at(store: SocketAddr, name: &str) -> Self {
-        Self::start_with(store, name, "").await
+        Self::start_with(store, name, &GateBounds::default()).await
     }
 
-    /// Starts a gate with further bounds, in lines of the settings file.
-    async fn start_with(store: SocketAddr, name: &str, bounds: &str) -> Self {
+    async fn start_with(store: SocketAddr, name: &str, bounds: &GateBounds) -> Self {
         let (callers, ready) = (free_address(), free_address());
         let text = format!(
             "gate: {name}\nzone: a\ncallers: {callers}\nready: {ready}\npeer: {}\nmetrics: {}\n\
-             store: {}\nbounds:\n  task_lease_ms: 2000\n  grace_s: 6\n{bounds}",
+             store: {}\nbounds:\n  task_lease_ms: {}\n  grace_s: 6\n  shown_s: {}\n",
             free_address(),
             free_address(),
             store,
+            bounds.task_lease_ms,
+            bounds.shown_s,
         );
         let file = format!("wigeongate-{}-{}.yaml", std::process::id(), callers.port());
         let settings = std::env::temp_dir().join(file);
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -226,7 +226,9 @@
         }
     }
 
-    async fn answer(&self, method: &str, path: &str, query: &str, body: &[u8]) -> Reply {
+    async fn answer(&self, call: &Call) -> Reply {
+        let (method, path) = (call.method.as_str(), call.path.as_str());
+        let (query, body) = (&call.query, &call.body);
         let fault = *locked(&self.fault);
         if matches!(fault, StoreFault::Busy | StoreFault::BusyAndKeepsLeases) {
             return reply(503, &json!({}));
@@ -443,6 +445,9 @@
     lease_deadline: u64,
 }
 
+/// The status of an executor's answer to a call that names another one.
+const MISDIRECTED: u16 = 421;
+
 /// An executor; the command of a task is the time in milliseconds that it runs, and `fail` after it
 /// lets its first run fail.
 #[derive(Debug)]
@@ -455,7 +460,31 @@
     clock_from: u64,
     state: Mutex<ExecutorState>,
     started: Arc<Mutex<Vec<StartedRun>>>,
-    unresponsive: AtomicBool,
+    link: Mutex<Link>,
+}
+
+/// What the connections to an executor do.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Link {
+    /// They work.
+    #[default]
+    Up,
+    /// None answers any more, and new ones are refused.
+    Silent,
+    /// Those with a call under way go silent, other open ones break when they are used, and new ones
+    /// are refused.
+    Refused,
+    /// Open ones break at once, and new ones are refused.
+    Broken,
+}
+
+/// How often the link of an executor is checked while a call is under way.
+const LINK_CHECK: Duration = Duration::from_millis(5);
+
+/// Closes the connection of the call that is being answered.
+fn break_connection() -> ! {
+    // The panic ends the task of the connection; this one is not reported on standard error.
+    std::panic::resume_unwind(Box::new("the connection breaks"))
 }
 
 impl Executor {
@@ -479,8 +508,38 @@
         }
     }
 
-    async fn answer(&self, path: &str, body: &[u8]) -> Reply {
-        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+    /// Answers a call over the link; a call that arrives after the end of a cut is answered.
+    async fn answer_over_link(&self, call: &Call) -> Reply {
+        match self.link() {
+            Link::Up => {}
+            Link::Silent => std::future::pending().await,
+            Link::Refused | Link::Broken => break_connection(),
+        }
+        tokio::select! {
+            reply = self.answer(call) => reply,
+            () = self.wait_cut() => match self.link() {
+                Link::Broken => break_connection(),
+                _ => std::future::pending().await,
+            },
+        }
+    }
+
+    async fn wait_cut(&self) {
+        while self.link() == Link::Up {
+            tokio::time::sleep(LINK_CHECK).await;
+        }
+    }
+
+    fn link(&self) -> Link {
+        *locked(&self.link)
+    }
+
+    async fn answer(&self, call: &Call) -> Reply {
+        if !call.instance.is_empty() && call.instance != self.id {
+            return reply(MISDIRECTED, &json!({ "clock_ms": self.clock() }));
+        }
+        let path = call.path.as_str();
+        let body: Value = serde_json::from_slice(&call.body).unwrap_or_default();
         self.end_due_runs();
         let fence = body["fence"].as_u64().unwrap_or(0);
         {
@@ -602,6 +661,8 @@
     executors: HashMap<String, Arc<Executor>>,
     /// The entries of the executors in the registry.
     entries: HashMap<String, Value>,
+    /// The addresses of the executors.
+    addresses: HashMap<String, SocketAddr>,
 }
 
 impl Platform {
@@ -609,9 +670,9 @@
     pub async fn start(executors: usize) -> Self {
         let store = Arc::new(Store::default());
         let served_store = Arc::clone(&store);
-        let (address, server) = serve(move |method, path, query, body| {
+        let (address, server) = serve(None, move |call| {
             let store = Arc::clone(&served_store);
-            async move { store.answer(&method, &path, &query, &body).await }
+            async move { store.answer(&call).await }
         })
         .await;
         let mut platform = Self {
@@ -621,6 +682,7 @@
             servers: HashMap::from([("store".to_owned(), server)]),
             executors: HashMap::new(),
             entries: HashMap::new(),
+            addresses: HashMap::new(),
         };
         for at in 0..executors {
             platform
@@ -634,13 +696,13 @@
     pub async fn open_store_address(&mut self, name: &str) -> (SocketAddr, Arc<AtomicBool>) {
         let refuses_calls = Arc::new(AtomicBool::new(false));
         let (store, flag) = (Arc::clone(&self.store), Arc::clone(&refuses_calls));
-        let (address, server) = serve(move |method, path, query, body| {
+        let (address, server) = serve(None, move |call| {
             let (store, flag) = (Arc::clone(&store), Arc::clone(&flag));
             async move {
                 if flag.load(Ordering::Relaxed) {
                     return reply(503, &json!({}));
                 }
-                store.answer(&method, &path, &query, &body).await
+                store.answer(&call).await
             }
         })
         .await;
@@ -658,19 +720,10 @@
             clock_from,
             state: Mutex::default(),
             started: Arc::clone(&self.started),
-            unresponsive: AtomicBool::new(false),
+            link: Mutex::default(),
         });
-        self.executors.insert(id.to_owned(), Arc::clone(&executor));
-        let (address, server) = serve(move |_, path, _, body| {
-            let executor = Arc::clone(&executor);
-            async move {
-                if executor.unresponsive.load(Ordering::Relaxed) {
-                    std::future::pending::<()>().await;
-                }
-                executor.answer(&path, &body).await
-            }
-        })
-        .await;
+        self.executors.insert(id.to_owned(), executor);
+        let address = self.listen(id, None).await;
         let entry = json!({
             "service": "desk", "address": address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
@@ -679,7 +732,55 @@
         });
         self.store.put(&format!("servers/{id}"), &entry);
         self.entries.insert(id.to_owned(), entry);
+    }
+
+    /// Lets an executor listen at an address, or at any if there is none.
+    async fn listen(&mut self, id: &str, address: Option<SocketAddr>) -> SocketAddr {
+        let executor = Arc::clone(&self.executors[id]);
+        let (address, server) = serve(address, move |call| {
+            let executor = Arc::clone(&executor);
+            async move { executor.answer_over_link(&call).await }
+        })
+        .await;
         self.servers.insert(id.to_owned(), server);
+        self.addresses.insert(id.to_owned(), address);
+        address
+    }
+
+    /// Closes the socket at which an executor listens; its open connections go on.
+    pub fn stop_listening(&mut self, id: &str) {
+        if let Some(server) = self.servers.remove(id) {
+            server.abort();
+        }
+    }
+
+    /// Cuts an executor off, which runs on.
+    pub fn cut_off(&mut self, id: &str, link: Link) {
+        *locked(&self.executors[id].link) = link;
+        self.stop_listening(id);
+    }
+
+    /// Ends the cut of an executor.
+    pub async fn reconnect(&mut self, id: &str) {
+        *locked(&self.executors[id].link) = Link::Up;
+        self.listen(id, Some(self.addresses[id])).await;
+    }
+
+    /// Lets an executor announce that it will shut down.
+    pub fn drain_executor(&mut self, id: &str) {
+        let entry = self.entries.get_mut(id).expect("the executor is known");
+        entry["state"] = json!("draining");
+        self.store.put(&format!("servers/{id}"), entry);
+    }
+
+    /// Removes an executor from the registry.
+    pub fn unlist_executor(&self, id: &str) {
+        self.store.remove(&format!("servers/{id}"));
+    }
+
+    /// Writes the entry of an executor again.
+    pub fn relist_executor(&self, id: &str) {
+        self.store.put(&format!("servers/{id}"), &self.entries[id]);
     }
 
     /// Lets an executor write that its capacity has changed to `cpu` thousandths of a core.
@@ -697,12 +798,7 @@
 
     /// Ends an executor's process; the registry still lists it.
     pub fn crash_executor(&mut self, id: &str) {
-        if let Some(executor) = self.executors.get(id) {
-            executor.unresponsive.store(true, Ordering::Relaxed);
-        }
-        if let Some(server) = self.servers.remove(id) {
-            server.abort();
-        }
+        self.cut_off(id, Link::Silent);
     }
 
     /// Returns whether an owner has polled an executor since it started.
@@ -749,26 +845,46 @@
     }
 }
 
-async fn serve<F, A>(answer: F) -> (SocketAddr, JoinHandle<()>)
+/// A call of a gate.
+#[derive(Debug, Clone, Default)]
+struct Call {
+    method: String,
+    path: String,
+    query: String,
+    /// The identifier of the executor that is meant; empty for none.
+    instance: String,
+    body: Vec<u8>,
+}
+
+/// Serves calls at an address, or at any if there is none.
+async fn serve<F, A>(address: Option<SocketAddr>, answer: F) -> (SocketAddr, JoinHandle<()>)
 where
-    F: Fn(String, String, String, Vec<u8>) -> A + Clone + Send + Sync + 'static,
+    F: Fn(Call) -> A + Clone + Send + Sync + 'static,
     A: Future<Output = Reply> + Send + 'static,
 {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = address.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)));
+    let listener = TcpListener::bind(address).await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let query =
         warp::query::raw().or_else(|_| async { Ok::<_, warp::Rejection>((String::new(),)) });
     let route = warp::method()
         .and(warp::path::full())
         .and(query)
+        .and(warp::header::optional("Wigeongate-Expected-Instance"))
         .and(warp::body::bytes())
         .then(
             move |method: warp::http::Method,
                   path: warp::path::FullPath,
                   query: String,
+                  instance: Option<String>,
                   body: bytes::Bytes| {
-                let path = path.as_str().to_owned();
-                answer(method.to_string(), path, query, body.to_vec())
+                answer(Call {
+                    method: method.to_string(),
+                    path: path.as_str().to_owned(),
+                    query,
+                    instance: instance.unwrap_or_default(),
+                    body: body.to_vec(),
+                })
             },
         );
     let server = tokio::spawn(warp::serve(route).incoming(listener).run());
--- a/wigeongate/tests/entry/retention.rs
+++ b/wigeongate/tests/entry/retention.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 use crate::platform::{Platform, StoreFault};
-use crate::{Gate, KEY, wait_until};
+use crate::{Gate, GateBounds, KEY, wait_until};
 
 /// How long the gates of these tests keep ended jobs.
 const RETENTION: Duration = Duration::from_secs(31);
@@ -36,7 +36,11 @@
 async fn expire_during(case: Case) {
     let platform = Platform::start(2).await;
     platform.configure(1, &[KEY]);
-    let gate = Gate::start_with(platform.address, "gate-0", "  shown_s: 1\n").await;
+    let bounds = GateBounds {
+        shown_s: 1,
+        ..GateBounds::default()
+    };
+    let gate = Gate::start_with(platform.address, "gate-0", &bounds).await;
     let ids = ["0000000000005001", "0000000000005002"];
     for id in ids {
         assert_eq!(gate.submit(id, 2, 100).await.status, 200, "{}", case.name);
