--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -51,7 +51,7 @@
 pub use waits::{HostCounts, Wait};
 
 pub use self::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
-pub use self::host::HostEntry;
+pub use self::host::{HostContact, HostEntry};
 pub use self::host_lease::{HostLease, Poll, StartLease};
 pub use self::isolation::Caution;
 pub use self::job::WorkflowStatus;
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -113,6 +113,23 @@
     pub until: Millis,
 }
 
+/// When a host was last heard of, on the owner's clock, and until when its runs may go on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct HostContact {
+    /// When the poll of the newest report was sent; zero before the first report.
+    pub reported: Millis,
+    /// When the first poll since then failed.
+    pub failed: Option<Millis>,
+    /// When the host's address first refused a connection since then.
+    pub refused: Option<Millis>,
+    /// When it was seen that the registry no longer lists the host.
+    pub unlisted: Option<Millis>,
+    /// The end of the leases that a poll has confirmed.
+    pub confirmed: Millis,
+    /// The end of the leases if every poll has taken effect; never before `confirmed`.
+    pub runs_until: Millis,
+}
+
 /// A task and the number of its run.
 pub type RunKey = (TaskName, u32);
 
@@ -228,6 +245,18 @@
         listed == 0 || answering == 0 || listed == answering
     }
 
+    /// Returns when the host was last heard of.
+    pub fn contact(&self) -> HostContact {
+        HostContact {
+            reported: self.reported,
+            failed: self.failing.map(|failing| failing.since),
+            refused: self.failing.and_then(|failing| failing.ended),
+            unlisted: (!self.listed).then_some(self.unlisted),
+            confirmed: self.lease,
+            runs_until: self.runs_until,
+        }
+    }
+
     /// Returns whether the host has ever reported to this owner.
     pub fn has_reported(&self) -> bool {
         self.reported > Millis::ZERO
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -6,7 +6,7 @@
 
 use super::advice_gates::AssignedGate;
 use super::evidence::Evidence;
-use super::host::RunKey;
+use super::host::{HostContact, RunKey};
 use super::restore::Record;
 use super::spec::{StepId, TaskName};
 use crate::ids::{HostId, QueueId};
@@ -239,6 +239,22 @@
         run: u32,
         /// Why the run cannot exist any more.
         proof: Proof,
+        /// What was known of the host.
+        contact: HostContact,
+    },
+    /// Log that a host reports a run that had lost its claim: the run goes on although it counted as
+    /// ended.
+    Returned {
+        /// The host of the run.
+        host: HostId,
+        /// The task.
+        task: TaskName,
+        /// Number of the run.
+        run: u32,
+        /// Number of the newest run of the task.
+        newest: u32,
+        /// What was known of the host before this report.
+        contact: HostContact,
     },
     /// Log that a host was lost with its runs.
     HostLost {
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, RunKey, Stage};
+use super::host::{Claim, Host, HostContact, RunKey, Stage};
 use super::job::{Phase, WorkflowStatus};
 use super::message::{Action, Ended, HostReport, Proof, RunOutcome, Running};
 use super::restore::Record;
@@ -28,6 +28,8 @@
             // An answer of the earlier boot was overtaken by one of the current boot.
             return;
         }
+        let contact = host.contact();
+        let is_newest = report.sent > host.reported;
         self.end_boot_runs(id, report, now, out);
         if rebooted {
             self.isolate_successor(id, now);
@@ -62,6 +64,9 @@
             self.record_end(id, ended, now, out);
         }
         for running in &report.running {
+            if is_newest {
+                self.check_return(id, running, contact, out);
+            }
             self.track_running(id, running, now, out);
         }
         if first {
@@ -148,6 +153,33 @@
         }
     }
 
+    /// Reports a run that lost its claim, so that its task may have started again, and goes on.
+    fn check_return(
+        &self,
+        id: &HostId,
+        running: &Running,
+        contact: HostContact,
+        out: &mut Vec<Action>,
+    ) {
+        let key = (running.task, running.run);
+        let is_claimed = |host: &Host| host.claims.contains_key(&key);
+        let job = self.jobs.get(&running.task.step.job);
+        let newest = job.and_then(|job| job.task(running.task)).map(|it| it.run);
+        // A run with a higher number is one of an earlier owner.
+        let newest = newest.filter(|newest| *newest >= running.run);
+        if let Some(newest) = newest
+            && !self.hosts.get(id).is_some_and(is_claimed)
+        {
+            out.push(Action::Returned {
+                host: id.clone(),
+                task: running.task,
+                run: running.run,
+                newest,
+                contact,
+            });
+        }
+    }
+
     fn track_running(
         &mut self,
         id: &HostId,
@@ -346,11 +378,13 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
+        let contact = self.hosts.get(id).map(Host::contact);
         out.push(Action::Released {
             host: id.clone(),
             task: key.0,
             run: key.1,
             proof,
+            contact: contact.unwrap_or_default(),
         });
         // A later owner must not take the run for one that may still exist. Runs that are lost with
         // their host have a record of their own.
--- a/wigeongate-core/tests/lease_model/model/gates.rs
+++ b/wigeongate-core/tests/lease_model/model/gates.rs
@@ -238,6 +238,7 @@
                 task,
                 run,
                 proof,
+                ..
             } => {
                 let epoch = self.owner(life).map(|owner| owner.epoch);
                 let is_owner = self.store.owner(self.now).map(|owner| owner.epoch) == epoch;
@@ -252,6 +253,7 @@
                 });
             }
             Action::Advise { .. }
+            | Action::Returned { .. }
             | Action::HostLost { .. }
             | Action::Verdict { .. }
             | Action::Acquitted { .. }
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -825,6 +825,11 @@
                     self.send(30, Message::Written(number));
                 }
                 Action::Verdict { task, .. } => self.verdicts.push(task),
+                Action::Returned { task, run, .. } => {
+                    let violation =
+                        format!("run {run} of {task} goes on after it counted as ended");
+                    self.violations.push(violation);
+                }
                 Action::Released { .. }
                 | Action::HostLost { .. }
                 | Action::Acquitted { .. }
--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod cleanup;
 mod configuration;
+mod contact_ages;
 mod hosts;
 mod job_watch;
 mod launch;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -12,12 +12,13 @@
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostEntry, HostReport, Intake, Proof, Record, StartOrder, StoredJob,
-    Submission, TaskName, WorkflowScheduler, WorkflowSettings,
+    Action, AdviceGates, HostContact, HostEntry, HostReport, Intake, Proof, Record, StartOrder,
+    StoredJob, Submission, TaskName, WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::callers::job_age;
+use super::contact_ages::ContactAges;
 use super::hosts::HostLink;
 use super::job_watch;
 use super::log::Log;
@@ -73,8 +74,8 @@
     hosts_known: bool,
     /// The earliest time of the next placement pass.
     next_pass: Instant,
-    /// When each task was last ordered to start.
-    start_times: HashMap<TaskName, Millis>,
+    /// When each run was ordered to start.
+    start_times: HashMap<(TaskName, u32), Millis>,
     waits: WaitReport,
 }
 
@@ -455,7 +456,7 @@
 
     fn log_ended_runs(&mut self, host: &HostId, report: &HostReport) {
         for ended in &report.ended {
-            if let Some(started) = self.start_times.remove(&ended.task) {
+            if let Some(started) = self.start_times.remove(&(ended.task, ended.run)) {
                 let ran = self.shared.now().since(started);
                 let how = ended.outcome.to_string();
                 self.shared.metrics.record_duration("run", &how, ran);
@@ -491,7 +492,15 @@
                 task,
                 run,
                 proof,
-            } => self.report_release(&host, task, run, proof),
+                contact,
+            } => self.report_release(&host, (task, run), proof, contact),
+            Action::Returned {
+                host,
+                task,
+                run,
+                newest,
+                contact,
+            } => self.report_return(&host, (task, run), newest, contact),
             Action::HostLost {
                 host,
                 runs,
@@ -540,25 +549,48 @@
         info!(task = %order.task, run = order.run, host = %order.host,
             epoch = self.epoch, registry_age_ms = self.registry_age().0,
             cpu = capacity.cpu, used_cpu = used.cpu, "owner: ordering a start.");
-        self.start_times.insert(order.task, self.shared.now());
+        self.start_times
+            .insert((order.task, order.run), self.shared.now());
         if let Some(link) = self.links.get(&order.host) {
             link.start(order);
         }
     }
 
-    /// Logs that a run ended without a report, and what proves it.
-    fn report_release(&self, host: &HostId, task: TaskName, run: u32, proof: Proof) {
+    /// Logs that a run ended without a report, what proves it, and what that rests on.
+    fn report_release(
+        &mut self,
+        host: &HostId,
+        (task, run): (TaskName, u32),
+        proof: Proof,
+        contact: HostContact,
+    ) {
         self.shared.metrics.count("released", &proof.to_string());
+        let started = self.start_times.remove(&(task, run));
         if proof == Proof::Refused {
             return;
         }
         let now = self.shared.now();
-        let ran_ms = self.start_times.get(&task).map(|at| now.since(*at).0);
+        let ran_ms = started.map(|at| now.since(at).0);
         let owned_ms = now.since(self.began).0;
-        info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms,
+        let contact = ContactAges::new(&contact, now);
+        info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms, %contact,
             "owner: the run ended without a report.");
     }
 
+    /// Logs that a run goes on that counted as ended; its task may run twice.
+    fn report_return(
+        &self,
+        host: &HostId,
+        (task, run): (TaskName, u32),
+        newest: u32,
+        contact: HostContact,
+    ) {
+        self.shared.metrics.count("returned", "run");
+        let contact = ContactAges::new(&contact, self.shared.now());
+        warn!(%task, run, newest, %host, epoch = self.epoch, %contact,
+            "owner: a run that counted as ended goes on; its task may run twice.");
+    }
+
     /// Logs the loss of a host with its runs.
     fn report_loss(&self, host: &HostId, runs: usize, suspects: &[(TaskName, u32)]) {
         let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
@@ -630,7 +662,8 @@
         self.scheduler.forget_jobs(&removed);
         let scheduler = &self.scheduler;
         let is_known = |job| scheduler.status(job).is_some();
-        self.start_times.retain(|task, _| is_known(task.step.job));
+        self.start_times
+            .retain(|(task, _), _| is_known(task.step.job));
         self.log.discard_batches(is_known);
     }
 }
