--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -199,7 +199,10 @@
                         sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                     }
                 }
-                Err(delay_ms) => sleep(Duration::from_millis(delay_ms)).await,
+                Err(delay_ms) => {
+                    wait_ms = 0;
+                    sleep(Duration::from_millis(delay_ms)).await;
+                }
             }
         }
     }
--- a/wigeongate/tests/entry/departures.rs
+++ b/wigeongate/tests/entry/departures.rs
@@ -14,6 +14,9 @@
 /// How long a cut lasts, in milliseconds; the leases of its beginning last for 4.5 s at least.
 const CUT_MS: u64 = 3_500;
 
+/// How much of their leases runs have left at the end of a cut, in milliseconds.
+const LEFT_MS: u64 = 1_200;
+
 /// How long the owner has to notice that an executor drains.
 const NOTICE: Duration = Duration::from_millis(500);
 
@@ -73,3 +76,26 @@
     gate.wait_state(&id, "completed").await;
     assert_eq!(platform.starts(&id), [first], "{}", case.name);
 }
+
+/// Guards against runs that lapsed on an executor that was back in touch: the poll that was to be
+/// followed by an extension of the leases waited for the end of a run.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_outlast_a_cut_that_ends_before_their_leases() {
+    let mut platform = Platform::start(2).await;
+    let gate = start_gate(&platform).await;
+    let id = "0000000000004410";
+    assert_eq!(gate.submit(id, 1, 10_000).await.status, 200);
+    let first = wait_until("the task starts", async || platform.starts(id).pop()).await;
+    let before = platform.extensions(&first.host);
+    wait_until("the leases are extended", async || {
+        (platform.extensions(&first.host) > before).then_some(())
+    })
+    .await;
+
+    platform.cut_off(&first.host, Link::Broken);
+    sleep(Duration::from_millis(LONG_LEASE_MS - LEFT_MS)).await;
+    platform.reconnect(&first.host).await;
+
+    gate.wait_state(id, "completed").await;
+    assert_eq!(platform.starts(id), [first]);
+}
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -443,6 +443,8 @@
     end_count: u64,
     /// When the lease of the runs ends, in milliseconds of the executor's clock.
     lease_deadline: u64,
+    /// The number of polls that extended it.
+    extensions: u64,
 }
 
 /// The status of an executor's answer to a call that names another one.
@@ -606,6 +608,7 @@
         let wait = Duration::from_millis(body["wait_ms"].as_u64().unwrap_or(0));
         if let Some(deadline) = body["deadline_ms"].as_u64() {
             let mut state = locked(&self.state);
+            state.extensions += u64::from(deadline > state.lease_deadline);
             state.lease_deadline = state.lease_deadline.max(deadline);
         }
         let started = Instant::now();
@@ -807,6 +810,11 @@
         executor.is_some_and(|executor| locked(&executor.state).fence > 0)
     }
 
+    /// Returns how often the leases of an executor were extended.
+    pub fn extensions(&self, id: &str) -> u64 {
+        locked(&self.executors[id].state).extensions
+    }
+
     /// Returns the runs of a job that executors started.
     pub fn starts(&self, job: &str) -> Vec<StartedRun> {
         let started = locked(&self.started);
