--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -52,6 +52,6 @@
 
 pub use self::gang_advice::{Candidate, GangCall, GangDemand, plan_gang_call};
 pub use self::host::{HostContact, HostEntry};
-pub use self::host_lease::{HostLease, Poll, StartLease};
+pub use self::host_lease::{HostLease, Poll, StartLease, departing_lease};
 pub use self::isolation::Caution;
 pub use self::job::WorkflowStatus;
--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -19,6 +19,15 @@
 /// The longest time that an order is under way, in milliseconds.
 const MAX_ORDER_MS: u64 = 700;
 
+/// The lease of a host that has announced its shutdown, in percent of the longest one. Nothing but the
+/// end of its leases proves that such a host has ended, and its tasks wait for that.
+const DEPARTING_LEASE_PERCENT: u64 = 60;
+
+/// Returns the task lease that a host is given once it has announced its shutdown.
+pub const fn departing_lease(lease: Millis) -> Millis {
+    Millis(lease.0 * DEPARTING_LEASE_PERCENT / 100)
+}
+
 /// A poll that is about to be sent. Its deadline and number only mean something to the boot for
 /// which it was planned; another one may still carry it out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -49,8 +58,10 @@
 /// ends that it may forget. Nothing is kept for another boot.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct HostLease {
-    /// The duration of a task lease.
+    /// The longest duration of a task lease.
     lease: Millis,
+    /// The duration of the leases that are granted now; never above `lease`.
+    granted: Millis,
     /// The executor's clock in its last answer, in milliseconds; zero before the first answer.
     clock_ms: u64,
     /// When that answer arrived, by the caller's clock.
@@ -78,10 +89,20 @@
     pub fn new(lease: Millis) -> Self {
         Self {
             lease,
+            granted: lease,
             ..Self::default()
         }
     }
 
+    /// Sets whether the host has announced its shutdown.
+    pub const fn set_departing(&mut self, is_departing: bool) {
+        self.granted = if is_departing {
+            departing_lease(self.lease)
+        } else {
+            self.lease
+        };
+    }
+
     /// Returns whether the executor has answered.
     pub const fn has_answered(&self) -> bool {
         self.clock_ms > 0
@@ -133,7 +154,7 @@
     /// Plans a poll that is sent at `now`. Its deadline counts as sent from here on; a lease ends at
     /// `last_grant` at the latest.
     pub fn begin_poll(&mut self, now: Millis, last_grant: Millis) -> Poll {
-        let lease = self.lease.0.min(last_grant.since(now).0);
+        let lease = self.granted.0.min(last_grant.since(now).0);
         let extended = self.clock_ms + now.since(self.received).0 + lease;
         let deadline = match (self.has_answered(), self.unanswered) {
             (false, _) => None,
@@ -171,7 +192,10 @@
                 return self.confirmed_until();
             }
             let is_restart = self.has_answered();
-            *self = Self::new(self.lease);
+            *self = Self {
+                granted: self.granted,
+                ..Self::new(self.lease)
+            };
             if is_restart {
                 // Calls for the earlier boot may still reach this one, which shortens their deadlines
                 // to the longest lease.
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -27,11 +27,6 @@
 /// The fewest hosts that count as a loss of a part of the fleet.
 const MIN_FLEET_GROUP: usize = 5;
 
-/// The longest time between the first failed poll of a host that exits and the removal of its
-/// registration, in milliseconds: half of the time after which the registration of a host that is
-/// cut off expires.
-const EXIT_MS: u64 = 1_500;
-
 /// The most crashes whose suspects are not cleared that are remembered.
 const MAX_ACCUSATIONS: usize = 64;
 
@@ -44,15 +39,6 @@
     pub ended: Option<Millis>,
 }
 
-/// Returns whether a host whose polls fail since this time, and whose address refuses connections,
-/// has shut down. A cut refuses connections as well, and the registration of a host that is cut off
-/// expires some heartbeats later; a host that shuts down removes it as it exits.
-fn has_left(host: &Host, failing_since: Millis) -> bool {
-    let is_at_exit = host.unlisted + Millis(EXIT_MS) >= failing_since
-        && host.unlisted <= failing_since + Millis(EXIT_MS);
-    host.entry.draining && !host.listed && is_at_exit
-}
-
 impl WorkflowScheduler {
     /// Handles that a poll got no report. Until the next report the host gets no new work; a silent
     /// host keeps its runs, since it may only be cut off.
@@ -75,17 +61,14 @@
         if failure != PollFailure::NoAnswer {
             failing.ended.get_or_insert(now);
         }
-        let failing = *failing;
-        let is_gone = has_left(host, failing.since);
-        let proof = match failure {
-            // Orders name the executor, so that its successor refuses those still under way.
-            PollFailure::Replaced => Proof::Replaced,
-            PollFailure::Refused if is_gone => Proof::Left,
-            PollFailure::Refused | PollFailure::NoAnswer => return,
-        };
+        if failure != PollFailure::Replaced {
+            // A refused connection is no proof of the end: a cut refuses connections as well.
+            return;
+        }
+        // Orders name the executor, so that its successor refuses those still under way.
         host.answered = false;
         let runs = host.claims.keys().copied().collect();
-        self.lose_runs(id, runs, proof, now, out);
+        self.lose_runs(id, runs, Proof::Replaced, now, out);
     }
 
     /// Judges the losses of hosts whose processes have ended a moment ago.
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -154,9 +154,6 @@
     /// Another executor answers at the address, so the process that ran the task has ended.
     #[display("replaced")]
     Replaced,
-    /// The host had announced its shutdown, is no longer listed, and refuses connections.
-    #[display("left")]
-    Left,
     /// The executor has seen this owner's epoch and does not list the run of an earlier owner.
     #[display("fenced")]
     Fenced,
@@ -167,7 +164,7 @@
     pub const fn outcome(self) -> RunOutcome {
         match self {
             Self::Refused | Self::NotOrdered | Self::Stopped => RunOutcome::Stopped,
-            Self::LeaseExpired | Self::NewBoot | Self::Replaced | Self::Left | Self::Fenced => {
+            Self::LeaseExpired | Self::NewBoot | Self::Replaced | Self::Fenced => {
                 RunOutcome::Lapsed
             }
         }
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -388,7 +388,7 @@
         });
         // A later owner must not take the run for one that may still exist. Runs that are lost with
         // their host have a record of their own.
-        let is_lost = matches!(proof, Proof::Replaced | Proof::NewBoot | Proof::Left);
+        let is_lost = matches!(proof, Proof::Replaced | Proof::NewBoot);
         let job = self.jobs.get(&key.0.step.job);
         if !is_lost && job.is_some_and(|job| job.end.is_none()) {
             self.record(Record::Released(key.0, key.1), out);
--- a/wigeongate-core/tests/workflow/leases.rs
+++ b/wigeongate-core/tests/workflow/leases.rs
@@ -102,6 +102,25 @@
     }
 }
 
+#[test]
+fn a_departing_host_gets_shorter_leases_from_its_next_poll_on() {
+    let mut lease = HostLease::new(Millis(LEASE_MS));
+    let poll_at = |lease: &mut HostLease, at: u64| {
+        let poll = lease.begin_poll(Millis(at), UNLIMITED);
+        // The executor's clock is the caller's.
+        lease.record_answer(poll, 1, at, Millis(at));
+        poll.deadline
+    };
+    assert_eq!(poll_at(&mut lease, 1_000), None);
+    assert_eq!(poll_at(&mut lease, 2_000), Some(8_000));
+    lease.set_departing(true);
+    // A lease is never shortened.
+    assert_eq!(poll_at(&mut lease, 3_000), Some(8_000));
+    assert_eq!(poll_at(&mut lease, 5_000), Some(8_600));
+    lease.set_departing(false);
+    assert_eq!(poll_at(&mut lease, 6_000), Some(12_000));
+}
+
 /// A poll that was planned for the boot whose clock reads 600 s and more, and what becomes of it.
 struct RestartCase {
     name: &'static str,
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -128,12 +128,13 @@
         }
     }
 
-    /// Replaces the executor's address, `host:port`.
-    pub fn set_address(&self, address: &str) {
+    /// Applies a change of the executor's entry in the registry.
+    pub fn update(&self, entry: &HostEntry) {
         let mut target = locked(&self.state.target);
-        if target.address != address {
-            address.clone_into(&mut target.address);
+        if target.address != entry.address {
+            target.address.clone_from(&entry.address);
         }
+        locked(&self.state.lease).set_departing(entry.draining);
     }
 
     /// Acknowledges the ends up to a number, which the executor then drops; ignored unless the
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -432,19 +432,17 @@
             self.scheduler.unlist_host(&id, now);
         }
         for entry in list {
-            if let Some(link) = self.links.get(&entry.id) {
-                link.set_address(&entry.address);
-            } else {
-                let link = HostLink::open(
+            let link = self.links.entry(entry.id.clone()).or_insert_with(|| {
+                HostLink::open(
                     &self.shared,
                     &entry,
                     self.epoch,
                     Arc::clone(&self.orders_allowed),
                     Arc::clone(&self.last_grant),
                     self.events.clone(),
-                );
-                self.links.insert(entry.id.clone(), link);
-            }
+                )
+            });
+            link.update(&entry);
             if entry.draining {
                 debug!(host = %entry.id, "owner: the host is draining.");
             }
