--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -37,6 +37,9 @@
     pub since: Millis,
     /// When it was seen that the host's process has ended, as its address refuses connections.
     pub ended: Option<Millis>,
+    /// Whether a poll that the host may have held got no answer. A process that gives up its address
+    /// goes on with its open connections and answers what it holds.
+    pub unanswered: bool,
 }
 
 impl WorkflowScheduler {
@@ -57,12 +60,17 @@
         let failing = host.failing.get_or_insert(Failing {
             since: now,
             ended: None,
+            unanswered: false,
         });
-        if failure != PollFailure::NoAnswer {
-            failing.ended.get_or_insert(now);
+        match failure {
+            PollFailure::NoAnswer => failing.unanswered = true,
+            PollFailure::Refused | PollFailure::Replaced => {
+                failing.ended.get_or_insert(now);
+            }
+            PollFailure::Closed => {}
         }
-        if failure != PollFailure::Replaced {
-            // A refused connection is no proof of the end: a cut refuses connections as well.
+        // A refused connection is no proof of the end: a cut refuses connections as well.
+        if failure != PollFailure::Replaced || !failing.unanswered {
             return;
         }
         // Orders name the executor, so that its successor refuses those still under way.
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -79,9 +79,12 @@
 /// Why a poll got no report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum PollFailure {
-    /// The poll was lost, or no complete answer arrived in time.
+    /// The host held the poll and broke it off, or no complete answer arrived in time.
     #[display("no answer")]
     NoAnswer,
+    /// The connection closed as the poll was sent; a process may close an idle one at any time.
+    #[display("connection closed")]
+    Closed,
     /// Nothing listens at the executor's address.
     #[display("connection refused")]
     Refused,
@@ -151,7 +154,8 @@
     /// The executor has restarted since the run was confirmed.
     #[display("new boot")]
     NewBoot,
-    /// Another executor answers at the address, so the process that ran the task has ended.
+    /// The process that ran the task left a poll without an answer, and another executor answers at
+    /// the address.
     #[display("replaced")]
     Replaced,
     /// The executor has seen this owner's epoch and does not list the run of an earlier owner.
--- a/wigeongate-core/tests/workflow/begun_jobs.rs
+++ b/wigeongate-core/tests/workflow/begun_jobs.rs
@@ -197,6 +197,7 @@
     }),
     waits("the host is lost with an unanswered start", |owner| {
         owner.answer(StartResult::Unknown);
+        owner.fail_poll(PollFailure::NoAnswer);
         owner.fail_poll(PollFailure::Replaced);
     }),
     waits("the host crashes after an unanswered start", |owner| {
@@ -222,6 +223,7 @@
     }),
     has_begun("the host is lost with a confirmed start", |owner| {
         owner.answer(StartResult::Started);
+        owner.fail_poll(PollFailure::NoAnswer);
         owner.fail_poll(PollFailure::Replaced);
     }),
     has_begun("a report lists an unanswered start", |owner| {
--- a/wigeongate-core/tests/workflow/verdicts.rs
+++ b/wigeongate-core/tests/workflow/verdicts.rs
@@ -277,6 +277,8 @@
 fn a_refused_run_is_not_adopted_by_the_next_owner() {
     let rules = rules(3, Resources::UNBOUNDED);
     let mut world = World::new(1, vec![host(0, 8 * CORE)], rules, Faults::default());
+    // The order reaches the dead host before the owner knows that it is lost.
+    world.break_delay_ms = 100;
     world.run_for(110);
     let id = world.live_hosts()[0].clone();
     world.submit(flow(7, vec![step(1, CORE)], None));
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -172,6 +172,8 @@
     pub starts: u32,
     /// Duration of a task lease, in milliseconds; in force from the next takeover on.
     pub lease_ms: u64,
+    /// The time until the owner notices that a process has broken off a poll, in milliseconds.
+    pub break_delay_ms: u64,
     epoch: u64,
     executors: BTreeMap<HostId, Executor>,
     /// Addresses from which calls get no answer.
@@ -295,6 +297,7 @@
             violations: Vec::new(),
             starts: 0,
             lease_ms: LEASE_MS,
+            break_delay_ms: 1,
             epoch: 0,
             executors: BTreeMap::new(),
             cut: BTreeSet::new(),
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -54,6 +54,9 @@
             executor.dead = true;
             executor.reachable = false;
         }
+        // The process breaks off the poll that it holds.
+        let broken = Message::PollFailed(id.clone(), PollFailure::NoAnswer);
+        self.send(self.break_delay_ms, broken);
         self.send(AWAY_MS, Message::Return(id.clone()));
         if !self.keeps_ids {
             self.send(UNLIST_MS, Message::Unlist(id.clone()));
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -72,11 +72,18 @@
     _stop: DropGuard,
 }
 
-/// Returns what a failed poll says of the executor, `None` if it answered.
-fn failure_of(error: &PollError) -> Option<PollFailure> {
+/// The time after which a poll counts as held by the executor, in milliseconds; a connection that was
+/// closed before breaks sooner.
+const HELD_MS: u64 = 50;
+
+/// Returns what a poll that failed after a time says of the executor, `None` if it answered.
+fn failure_of(error: &PollError, took: Millis) -> Option<PollFailure> {
     match error {
         PollError::Replaced(_) => Some(PollFailure::Replaced),
         PollError::Call(CallError::NotSent { refused: true, .. }) => Some(PollFailure::Refused),
+        PollError::Call(CallError::NoResponse { late: false, .. }) if took.0 < HELD_MS => {
+            Some(PollFailure::Closed)
+        }
         PollError::Call(_) => Some(PollFailure::NoAnswer),
         PollError::Fenced(_) | PollError::Refused { .. } | PollError::Unreadable { .. } => None,
     }
@@ -303,7 +310,7 @@
                     debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
                 }
                 locked(&self.lease).record_silence();
-                if let Some(failure) = failure_of(&error) {
+                if let Some(failure) = failure_of(&error, received.since(sent)) {
                     self.send(OwnerEvent::PollFailed(self.id.clone(), failure));
                 }
                 let is_broken = matches!(
