Show that a late poll of an earlier boot extends an uncounted lease

The model of releases had stops that end at once, no hosts that move, and few late calls. Stops now take up to 900 ms, answers may be slow, hosts move to another address under their identifiers, a quarter of all calls may be late, and draining hosts are cut off for longer.

Cause, not fixed here: after a silence a poll still carries the confirmed deadline of the boot that answered last. Its successor under the same identifier shortens that to the longest lease from when it carries the poll out, and the owner expects this within 2.4 s (`MAX_CALL_MS`). A call without an answer may be carried out later than that. A cut that begins before the next extension leaves the run alive after its counted expiry.

--- a/wigeongate-core/tests/release_proofs/executor.rs
+++ b/wigeongate-core/tests/release_proofs/executor.rs
@@ -47,8 +47,8 @@
     born: u64,
     /// The speed of its clock, in parts per thousand.
     rate: u64,
-    /// The runs and when each ends.
-    running: BTreeMap<RunKey, u64>,
+    /// The runs, and when and how each ends.
+    running: BTreeMap<RunKey, (u64, RunOutcome)>,
     refused: BTreeMap<TaskName, u32>,
     ended: Vec<Ended>,
     pub done: Vec<DoneEnd>,
@@ -105,13 +105,16 @@
     pub fn settle(&mut self, now: u64) -> bool {
         let before = self.next_end;
         loop {
-            let first = self.running.iter().map(|(key, until)| (*until, *key)).min();
-            let next = first.filter(|(until, _)| *until <= now);
+            let ends = self.running.iter();
+            let first = ends
+                .map(|(key, end)| (end.0, *key, end.1))
+                .min_by_key(|end| end.0);
+            let next = first.filter(|(until, ..)| *until <= now);
             let lapse = self.lapse();
             let lapses = !self.has_lapsed && lapse <= now;
             match next {
-                Some((until, key)) if !lapses || until < lapse => {
-                    self.end(key, RunOutcome::Done, until);
+                Some((until, key, outcome)) if !lapses || until < lapse => {
+                    self.end(key, outcome, until);
                 }
                 _ if lapses => {
                     self.has_lapsed = true;
@@ -162,12 +165,15 @@
     }
 
     pub fn start(&mut self, key: RunKey, until: u64) {
-        self.running.insert(key, until);
+        self.running.insert(key, (until, RunOutcome::Done));
     }
 
-    pub fn stop(&mut self, key: RunKey, now: u64) {
-        if self.running.contains_key(&key) {
-            self.end(key, RunOutcome::Stopped, now);
+    /// Lets a run end by a time, and refuses a run that is not there.
+    pub fn stop(&mut self, key: RunKey, until: u64) {
+        if let Some(end) = self.running.get_mut(&key) {
+            if until < end.0 {
+                *end = (until, RunOutcome::Stopped);
+            }
         } else {
             let refused = self.refused.entry(key.0).or_default();
             *refused = (*refused).max(key.1);
--- a/wigeongate-core/tests/release_proofs/faults.rs
+++ b/wigeongate-core/tests/release_proofs/faults.rs
@@ -17,12 +17,19 @@
     StoreOutage,
     /// A process closes its listener and goes on while its successor answers at the address.
     Handover,
+    /// A process ends, and another one starts under the same identifier at another address, while an
+    /// executor with another identifier starts at its own.
+    Move,
+    /// Some answers take long.
+    SlowAnswer,
     /// A process ends, and another one starts under the same identifier.
     Restart,
     /// A process ends, and another one starts under a new identifier.
     Crash,
     /// Calls get no answer and are carried out seconds later.
     LateCall,
+    /// A quarter of all calls are carried out late.
+    OftenLate,
     /// The owner's process is paused.
     Pause,
     /// The clocks of executors run slowly.
@@ -33,23 +40,6 @@
     Suspension,
 }
 
-/// All faults under which a run may be counted as ended only after its end.
-pub const ALL: [Kind; 13] = [
-    Kind::Drain,
-    Kind::Exit,
-    Kind::Cut,
-    Kind::SilentConnections,
-    Kind::StoreCut,
-    Kind::StoreOutage,
-    Kind::Handover,
-    Kind::Restart,
-    Kind::Crash,
-    Kind::LateCall,
-    Kind::Pause,
-    Kind::SlowClock,
-    Kind::Standstill,
-];
-
 /// What calls meet on a path that is cut.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CutMode {
@@ -83,6 +73,7 @@
     Succeed { machine: usize },
     End { machine: usize },
     Return { machine: usize, keeps_id: bool },
+    Move { machine: usize },
     Pause { until: u64 },
     StandStill { machine: usize, until: u64 },
     Suspend { ms: u64 },
@@ -149,6 +140,8 @@
 ) {
     let has = |kind| kinds.contains(&kind);
     let mut at = rng.between(4_000, until);
+    let mut cut_at = None;
+    let mut is_draining = false;
     if has(Kind::Drain) && rng.chance(45) {
         let serves_ms = if has(Kind::Exit) && rng.chance(60) {
             rng.between(2_000, 10_000)
@@ -157,6 +150,7 @@
         };
         faults.push((at, Fault::Drain { machine, serves_ms }));
         at += rng.below(4_000);
+        is_draining = true;
     }
     if has(Kind::Cut) && rng.chance(70) {
         let mode = match rng.below(4) {
@@ -165,6 +159,13 @@
             _ => CutMode::AnswersLost,
         };
         let end = at + rng.between(500, 8_000);
+        // A host that has announced its shutdown may look as if it had exited.
+        let (mode, end) = if is_draining && rng.chance(70) {
+            (CutMode::Refused, at + rng.between(4_000, 8_000))
+        } else {
+            (mode, end)
+        };
+        cut_at = Some(at);
         let cut = Cut {
             mode,
             resets: !has(Kind::SilentConnections) || rng.chance(30),
@@ -187,11 +188,21 @@
         faults.push((at, Fault::CloseListener { machine, lasts_ms }));
         faults.push((at + rng.below(1_500), Fault::Succeed { machine }));
     }
+    if has(Kind::Move) && rng.chance(40) {
+        let at = rng.between(4_000, until);
+        faults.push((at, Fault::Move { machine }));
+    }
     for (kind, keeps_id) in [(Kind::Restart, true), (Kind::Crash, false)] {
         if has(kind) && rng.chance(30) {
-            let at = rng.between(4_000, until);
+            let lasts_ms = rng.between(100, 3_000);
+            // The cut may follow before the leases of the earlier process have ended.
+            let before_cut = cut_at.filter(|_| rng.chance(50));
+            let at = match before_cut {
+                Some(cut) => cut.saturating_sub(lasts_ms + rng.below(4_000)),
+                None => rng.between(4_000, until),
+            };
             faults.push((at, Fault::End { machine }));
-            let back = at + rng.between(100, 3_000);
+            let back = at + lasts_ms;
             faults.push((back, Fault::Return { machine, keeps_id }));
         }
     }
--- a/wigeongate-core/tests/release_proofs/link.rs
+++ b/wigeongate-core/tests/release_proofs/link.rs
@@ -73,6 +73,14 @@
             busy: 0,
         }
     }
+
+    /// Lets new calls go to another address.
+    pub fn set_machine(&mut self, machine: usize) {
+        if self.machine != machine {
+            self.machine = machine;
+            self.idle.clear();
+        }
+    }
 }
 
 impl World {
--- a/wigeongate-core/tests/release_proofs/main.rs
+++ b/wigeongate-core/tests/release_proofs/main.rs
@@ -3,6 +3,7 @@
 //! The owner counts a run as ended by a proof. At no moment may a task start while an earlier run of
 //! it goes on, nor after one that has ended as done and whose end is taken note of.
 
+mod cases;
 mod executor;
 mod faults;
 mod jobs;
@@ -17,7 +18,8 @@
 
 use wigeongate_core::workflow::Proof;
 
-use self::faults::{ALL, Kind};
+use self::cases::{Case, DRAINS, HANDOVERS, SOUND};
+use self::faults::Kind;
 use self::link::Part;
 use self::starts::Violation;
 use self::world::World;
@@ -55,12 +57,6 @@
     lines.join("\n")
 }
 
-/// Faults that may come together.
-struct Case {
-    name: &'static str,
-    kinds: &'static [Kind],
-}
-
 /// Plays histories of each case; returns how often each proof was used.
 fn check(cases: &[Case], histories: u64) -> BTreeMap<String, usize> {
     let mut proofs = BTreeMap::new();
@@ -93,56 +89,7 @@
 
 #[test]
 fn no_task_starts_beside_a_run_that_goes_on() {
-    let cases = [
-        Case {
-            name: "hosts that are cut off",
-            kinds: &[Kind::Cut, Kind::SlowClock],
-        },
-        Case {
-            name: "cuts that nobody notices, and an owner that is paused",
-            kinds: &[
-                Kind::Cut,
-                Kind::SilentConnections,
-                Kind::SlowClock,
-                Kind::Pause,
-            ],
-        },
-        Case {
-            name: "hosts that shut down",
-            kinds: &[Kind::Drain, Kind::Exit, Kind::SlowClock],
-        },
-        Case {
-            name: "hosts that shut down during outages, with late calls",
-            kinds: &[
-                Kind::Drain,
-                Kind::Exit,
-                Kind::StoreOutage,
-                Kind::LateCall,
-                Kind::Pause,
-                Kind::Standstill,
-                Kind::SlowClock,
-            ],
-        },
-        Case {
-            name: "hosts that restart and crash",
-            kinds: &[Kind::Restart, Kind::Crash, Kind::Standstill],
-        },
-        Case {
-            name: "hosts that restart and crash behind cuts",
-            kinds: &[
-                Kind::Cut,
-                Kind::SilentConnections,
-                Kind::StoreCut,
-                Kind::StoreOutage,
-                Kind::Restart,
-                Kind::Crash,
-                Kind::Pause,
-                Kind::SlowClock,
-                Kind::Standstill,
-            ],
-        },
-    ];
-    let proofs = check(&cases, 150);
+    let proofs = check(SOUND, 120);
     let used: Vec<&str> = proofs.keys().map(String::as_str).collect();
     let all = [
         "left",
@@ -161,69 +108,29 @@
 #[test]
 #[ignore = "issue 44"]
 fn a_draining_host_that_is_only_cut_off_keeps_its_runs() {
-    let cases = [
-        Case {
-            name: "open connections stay silent",
-            kinds: &[Kind::Drain, Kind::Cut, Kind::SilentConnections],
-        },
-        Case {
-            name: "the path to the store is cut at another time",
-            kinds: &[Kind::Drain, Kind::Cut, Kind::StoreCut],
-        },
-        Case {
-            name: "the path to the store is cut at another time and connections stay silent",
-            kinds: &[
-                Kind::Drain,
-                Kind::Cut,
-                Kind::StoreCut,
-                Kind::SilentConnections,
-            ],
-        },
-        Case {
-            name: "the owner is paused",
-            kinds: &[Kind::Drain, Kind::Cut, Kind::Pause],
-        },
-        Case {
-            name: "the store is down as well",
-            kinds: &[
-                Kind::Drain,
-                Kind::Exit,
-                Kind::Cut,
-                Kind::SilentConnections,
-                Kind::StoreCut,
-                Kind::StoreOutage,
-            ],
-        },
-    ];
-    check(&cases, 250);
+    check(DRAINS, 250);
 }
 
 #[test]
 #[ignore = "issue 44"]
 fn a_process_that_closes_its_listener_keeps_its_runs() {
-    let cases = [
-        Case {
-            name: "its successor answers at its address",
-            kinds: &[Kind::Handover],
-        },
-        Case {
-            name: "its successor answers at its address after a cut",
-            kinds: &[Kind::Handover, Kind::Cut],
-        },
-        Case {
-            name: "orders are carried out late",
-            kinds: &[Kind::Handover, Kind::LateCall],
-        },
-        Case {
-            name: "it stands still",
-            kinds: &[Kind::Handover, Kind::Standstill],
-        },
-        Case {
-            name: "all faults",
-            kinds: &ALL,
-        },
-    ];
-    check(&cases, 250);
+    check(HANDOVERS, 250);
+}
+
+#[test]
+#[ignore = "issue 44"]
+fn a_late_poll_of_an_earlier_boot_extends_no_uncounted_lease() {
+    let cases = [Case {
+        name: "hosts restart under their identifiers before they are cut off",
+        kinds: &[
+            Kind::Restart,
+            Kind::OftenLate,
+            Kind::Cut,
+            Kind::SilentConnections,
+            Kind::SlowClock,
+        ],
+    }];
+    check(&cases, 1_500);
 }
 
 #[test]
--- a/wigeongate-core/tests/release_proofs/network.rs
+++ b/wigeongate-core/tests/release_proofs/network.rs
@@ -10,6 +10,13 @@
 
 /// The share of calls that are carried out late, in percent.
 const LATE_PERCENT: u64 = 3;
+const OFTEN_LATE_PERCENT: u64 = 25;
+
+/// The longest time that a stop takes, in milliseconds.
+const LONGEST_STOP_MS: u64 = 900;
+
+/// The share of answers that take long, in percent.
+const SLOW_PERCENT: u64 = 3;
 
 /// What a call asks for.
 #[derive(Debug, Clone)]
@@ -144,7 +151,14 @@
             self.respond(id, Reply::Misdirected);
             return;
         }
-        if self.has(Kind::LateCall) && !self.calls[id].mute && self.rng.chance(LATE_PERCENT) {
+        let late_percent = if self.has(Kind::OftenLate) {
+            OFTEN_LATE_PERCENT
+        } else if self.has(Kind::LateCall) {
+            LATE_PERCENT
+        } else {
+            0
+        };
+        if !self.calls[id].mute && self.rng.chance(late_percent) {
             self.calls[id].mute = true;
             let delay = self.rng.between(500, 5_000);
             self.after(delay, Event::Arrive(id));
@@ -170,9 +184,10 @@
             Body::Stop { order, .. } => {
                 let now = self.now;
                 self.processes[at].settle(now);
-                self.processes[at].stop((order.task, order.run), now);
+                let takes_ms = self.rng.below(LONGEST_STOP_MS);
+                self.processes[at].stop((order.task, order.run), now + takes_ms);
+                self.after(takes_ms, Event::Settle(at));
                 self.respond(id, Reply::Done);
-                self.answer_waiting(at);
             }
         }
     }
@@ -211,7 +226,8 @@
 
     fn respond(&mut self, id: usize, reply: Reply) {
         if !self.calls[id].mute {
-            let transit = self.rng.between(1, 4);
+            let is_slow = self.has(Kind::SlowAnswer) && self.rng.chance(SLOW_PERCENT);
+            let transit = self.rng.between(1, if is_slow { 2_400 } else { 4 });
             self.after(transit, Event::Respond(id, Box::new(reply)));
         }
     }
--- a/wigeongate-core/tests/release_proofs/owner.rs
+++ b/wigeongate-core/tests/release_proofs/owner.rs
@@ -136,9 +136,11 @@
             self.owner.scheduler.unlist_host(&id, now);
         }
         for entry in list {
-            if !self.owner.links.contains_key(&entry.id) {
+            let machine = self.machine_of(&entry.id);
+            if let Some(at) = self.owner.links.get(&entry.id) {
+                self.links[*at].set_machine(machine);
+            } else {
                 let at = self.links.len();
-                let machine = self.machine_of(&entry.id);
                 self.links.push(Link::new(entry.id.clone(), machine));
                 self.owner.links.insert(entry.id.clone(), at);
                 self.after(0, Event::Poll(at, 0));
--- a/wigeongate-core/tests/release_proofs/world.rs
+++ b/wigeongate-core/tests/release_proofs/world.rs
@@ -151,7 +151,7 @@
             links: Vec::new(),
             calls: Vec::new(),
             processes: Vec::new(),
-            cuts: vec![None; MACHINES],
+            cuts: vec![None; 2 * MACHINES],
             omitted,
             violation: None,
             history: None,
@@ -159,7 +159,7 @@
             kinds: kinds.to_vec(),
             paused_until: 0,
             store_down_until: 0,
-            store_cuts: vec![0; MACHINES],
+            store_cuts: vec![0; 2 * MACHINES],
             registry: BTreeMap::new(),
             events: BTreeMap::new(),
             sent: 0,
@@ -308,8 +308,10 @@
             .filter(|at| self.processes[*at].listening)
     }
 
+    /// Returns the machine on which the newest process of a host started.
     pub fn machine_of(&self, id: &HostId) -> usize {
-        let process = self.processes.iter().find(|process| process.id == *id);
+        let mut processes = self.processes.iter();
+        let process = processes.rfind(|process| process.id == *id);
         process.map_or(0, |process| process.machine)
     }
 
@@ -443,6 +445,14 @@
                     self.boot(machine, id);
                 }
             }
+            Fault::Move { machine } => {
+                if let Some(at) = self.process_on(machine).filter(|at| *at < MACHINES) {
+                    let id = self.processes[at].id.clone();
+                    self.end_process(at);
+                    self.boot(machine, None);
+                    self.boot(machine + MACHINES, Some(id));
+                }
+            }
             Fault::Pause { until } => self.paused_until = until,
             Fault::StandStill { machine, until } => {
                 if let Some(at) = self.process_on(machine) {
