--- a/wigeongate-core/tests/release_proofs/cases.rs
+++ b/wigeongate-core/tests/release_proofs/cases.rs
@@ -134,6 +134,26 @@
         name: "it stands still",
         kinds: &[Kind::Handover, Kind::Standstill],
     },
+    Case {
+        name: "all faults",
+        kinds: &[
+            Kind::Drain,
+            Kind::Exit,
+            Kind::Cut,
+            Kind::SilentConnections,
+            Kind::StoreCut,
+            Kind::StoreOutage,
+            Kind::Handover,
+            Kind::Restart,
+            Kind::Crash,
+            Kind::Move,
+            Kind::SlowAnswer,
+            Kind::LateCall,
+            Kind::Pause,
+            Kind::SlowClock,
+            Kind::Standstill,
+        ],
+    },
     Case {
         name: "all faults but those of draining hosts and restarts",
         kinds: &[
