--- a/wigeongate-core/src/workflow/host_lease.rs
+++ b/wigeongate-core/src/workflow/host_lease.rs
@@ -156,12 +156,10 @@
     pub fn begin_poll(&mut self, now: Millis, last_grant: Millis) -> Poll {
         let lease = self.granted.0.min(last_grant.since(now).0);
         let extended = self.clock_ms + now.since(self.received).0 + lease;
-        let deadline = match (self.has_answered(), self.unanswered) {
-            (false, _) => None,
-            (true, true) => self.deadline(),
-            (true, false) if lease == 0 => self.deadline(),
-            (true, false) => Some(extended.max(self.confirmed)),
-        };
+        // After a silence another boot may carry out the poll, and would take the deadline of this one
+        // for a lease that begins then.
+        let extends = self.has_answered() && !self.unanswered && lease > 0;
+        let deadline = extends.then_some(extended.max(self.confirmed));
         self.sent = self.sent.max(deadline.unwrap_or_default());
         Poll {
             sent: now,
--- a/wigeongate-core/tests/release_proofs/owner.rs
+++ b/wigeongate-core/tests/release_proofs/owner.rs
@@ -208,6 +208,7 @@
                 task,
                 run,
                 proof,
+                ..
             } => {
                 self.note(|| format!("owner: {task} {run} on {host} has ended: {proof}"));
                 self.owner.released.insert((task, run), proof);
