Keep a host in isolation for the suspect that it was drafted for

Callers saw jobs that wait for ever although a host could run them: two jobs that have crashed a host, each of which can use one host only, on a fleet that keeps one host free for such jobs.

Cause: `draft` ended the isolation of a host that is of no use to the step at hand before it was known that another host could join, and did not ask whether the host had just been drafted for another step. In each pass the first suspect took the place of the second one's host and the second that of the first one's; a host has to be in isolation at the start of the next pass to get the task.

Fix: a host leaves only for one that joins, and not for another step while the step that it was drafted for waits, for at most as long as an isolation lasts (2 s). So each step has its host in the next passes, when it can start, and a step that cannot start after all holds the place for a bounded time. The check costs one lookup for each host that could leave.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -100,6 +100,15 @@
     pub until: Millis,
 }
 
+/// A step for which a host was put into isolation.
+#[derive(Debug, Clone, Copy)]
+pub struct Draft {
+    /// The step.
+    pub step: StepId,
+    /// Until when no other step may end the isolation while this one waits.
+    pub until: Millis,
+}
+
 /// Capacity that is reserved for a step; a more urgent step may still use it.
 #[derive(Debug, Clone, Copy)]
 pub struct HostReservation {
@@ -152,6 +161,8 @@
     pub newest_batch: u32,
     /// Until when the host is reserved for suspected jobs.
     pub isolated: Millis,
+    /// The step for which it was reserved last.
+    pub drafted: Option<Draft>,
     /// When an extra poll was last requested.
     pub polled: Millis,
     /// Capacity that is reserved for a step.
@@ -185,6 +196,7 @@
             trial: None,
             newest_batch: 0,
             isolated: Millis::ZERO,
+            drafted: None,
             polled: now,
             reservation: None,
             paused_until: Millis::ZERO,
--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -8,7 +8,7 @@
 
 use super::crash::{Blame, YOUNG_MS};
 use super::evidence::Evidence;
-use super::host::{Host, Trial};
+use super::host::{Draft, Host, Trial};
 use super::host_choice::Need;
 use super::job::Rank;
 use super::message::Action;
@@ -379,20 +379,34 @@
         } else if suitable.len() > self.pass.unplaced {
             return;
         }
+        let Some(candidate) = candidate else {
+            return;
+        };
         if left == 0 {
             // Makes room by ending the isolation of a host that does not help this step.
-            let released = useless.first().map(|host| host.entry.id.clone());
+            let released = useless.iter().find(|host| !self.is_awaited(host, now));
+            let released = released.map(|host| host.entry.id.clone());
             let Some(host) = released.and_then(|id| self.hosts.get_mut(&id)) else {
                 return;
             };
             host.isolated = now;
         }
-        if let Some(host) = candidate.and_then(|id| self.hosts.get_mut(&id)) {
+        if let Some(host) = self.hosts.get_mut(&candidate) {
             host.isolated = now + Millis(ISOLATION_MS);
+            host.drafted = Some(Draft {
+                step: at,
+                until: now + Millis(ISOLATION_MS),
+            });
             self.dirty = true;
         }
     }
 
+    /// Returns whether a host was put into isolation a short while ago for a step that waits.
+    fn is_awaited(&self, host: &Host, now: Millis) -> bool {
+        let drafted = host.drafted.as_ref();
+        drafted.is_some_and(|draft| draft.until > now && self.ready.contains(&draft.step))
+    }
+
     /// Returns the host that may run a step on which the least would be lost.
     fn draft_candidate(&self, at: StepId, service: &str, now: Millis) -> Option<HostId> {
         let usable = |host: &&Host| {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -14,6 +14,7 @@
 mod removed_queues;
 mod retention;
 mod retrials;
+mod shared_isolation;
 mod tenure;
 mod verdicts;
 mod waiting_jobs;
