Let a suspect take only a host in isolation that it may use

Callers saw jobs that wait for ever although the host that can run them is kept free: a job that has crashed a host and can run on no host that is left, ahead of another such job that can.

Cause: a pass counted the hosts in isolation of a service and gave one of the count to each suspect in turn, whatever the host. The first suspect took the host of the second one and could not start there; for the second none was left, so that it was passed over, and could not have another drafted either.

Evidence: two_suspects_do_not_take_hosts_from_each_other, before the change: completed: [("the first has none", [])] where [2] is wanted.

Fix: the pass keeps the hosts themselves, and a step takes the first that is able to run it, one with work on it before a vacant one, since only some steps need the latter. The look-up costs one check for each waiting suspect and host in isolation that others have left; most find theirs first, and a step that finds none ends there as before.

--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -445,7 +445,7 @@
     }
 
     /// Returns whether a suspected step may run on a host once that is vacant.
-    fn may_try(&self, host: &Host, at: StepId, now: Millis) -> bool {
+    pub(super) fn may_try(&self, host: &Host, at: StepId, now: Millis) -> bool {
         let Some(job) = self.jobs.get(&at.job) else {
             return false;
         };
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, Stage, Trial};
+use super::host::{Claim, Host, Stage, Trial};
 use super::isolation::Caution;
 use super::job::{Phase, Rank, Task};
 use super::message::{Action, StartOrder};
@@ -46,18 +46,16 @@
 }
 
 /// Free capacity on the hosts of one service.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct FreeCapacity {
     /// The largest free amount of each resource on any one host.
     largest: Resources,
     /// Free capacity on all hosts that are not in isolation, less what earlier steps of the pass
     /// need.
     unclaimed: Resources,
-    /// The number of hosts in isolation that are not on trial, less those that earlier steps
-    /// of the pass use or ask for.
-    isolated: usize,
-    /// Those among them on which nothing but lasting tasks runs.
-    vacant: usize,
+    /// Hosts in isolation that are not on trial, less those that earlier steps of the pass use or
+    /// ask for; those on which nothing but lasting tasks runs come last.
+    isolated: Vec<HostId>,
     /// The most valuable work among that which is not suspected and has waited for a while.
     delayed: Option<Rank>,
     /// Capacity of all hosts.
@@ -114,7 +112,7 @@
         if rank >= Rank::Worthless && !self.may_lose_hosts(&rules.service) {
             return true;
         }
-        if self.take_isolated(&rules.service, caution) {
+        if self.take_isolated(at, &rules.service, caution, now) {
             return false;
         }
         self.pass.unplaced += 1;
@@ -136,15 +134,18 @@
                 capacity.largest = capacity.largest.max(&free);
                 if host.isolated <= now {
                     capacity.unclaimed += free;
-                } else {
-                    let is_free = host.trial.is_none();
-                    capacity.isolated += usize::from(is_free);
-                    capacity.vacant += usize::from(is_free && host.is_vacant());
+                } else if host.trial.is_none() {
+                    capacity.isolated.push(host.entry.id.clone());
                 }
                 capacity.total += host.entry.capacity;
                 capacity.used += host.used;
             }
         }
+        for capacity in capacities.values_mut() {
+            let is_vacant = |id: &HostId| self.hosts.get(id).is_some_and(Host::is_vacant);
+            let isolated = &mut capacity.isolated;
+            isolated.sort_by_cached_key(|id| (is_vacant(id), id.clone()));
+        }
         capacities
     }
 
@@ -187,19 +188,22 @@
         self.pass.capacities.get(service)?.delayed
     }
 
-    /// Takes one of the hosts in isolation for a step; returns whether one was left. Only as many
-    /// steps as there are such hosts ask for advice, since tickets expire unused otherwise.
-    fn take_isolated(&mut self, service: &str, caution: Caution) -> bool {
-        let Some(capacity) = self.pass.capacities.get_mut(service) else {
-            return false;
+    /// Takes one of the hosts in isolation that a step may use; returns whether one was left. Only as
+    /// many steps as there are such hosts ask for advice, since tickets expire unused otherwise.
+    fn take_isolated(&mut self, at: StepId, service: &str, caution: Caution, now: Millis) -> bool {
+        let suits = |id: &HostId| {
+            let is_usable = |host: &Host| {
+                (caution < Caution::Alone || host.is_vacant()) && self.may_try(host, at, now)
+            };
+            self.hosts.get(id).is_some_and(is_usable)
         };
-        let needs_vacant = caution == Caution::Alone;
-        if capacity.isolated == 0 || (needs_vacant && capacity.vacant == 0) {
-            return false;
+        let left = self.pass.capacities.get(service);
+        let taken = left.and_then(|left| left.isolated.iter().position(suits));
+        let left = self.pass.capacities.get_mut(service);
+        if let (Some(left), Some(taken)) = (left, taken) {
+            left.isolated.remove(taken);
         }
-        capacity.isolated -= 1;
-        capacity.vacant = capacity.vacant.saturating_sub(usize::from(needs_vacant));
-        true
+        taken.is_some()
     }
 
     /// Deducts the capacity that waiting tasks need from the capacity for which later steps of the
--- a/wigeongate-core/tests/workflow/shared_isolation.rs
+++ b/wigeongate-core/tests/workflow/shared_isolation.rs
@@ -29,6 +29,11 @@
             gone: &[],
             complete: &[1, 2],
         },
+        Case {
+            name: "the first has none",
+            gone: &[0],
+            complete: &[2],
+        },
         Case {
             name: "the second has none",
             gone: &[1],
