Bound the drafts of a pass for each service by itself

Callers saw a job that has crashed a host and waits while hosts of its service are vacant, for as long as jobs of another service wait for theirs.

Cause: the steps that found no host in isolation were counted in one number for all services. From the ninth on no host is drafted, so nine suspects of one service, which come first in each pass, kept those of the others from any host; and the hosts that are ready for a step were compared with steps that they cannot run.

Evidence: a_suspect_does_not_wait_for_suspects_of_another_service, before: behind as many others: [30] (the cases with 0, 7 and 8 others held). The job has nothing running 7.2 s after the crash, with seven vacant hosts of its service.

Fix: the number stands with the other totals of a service. A pass drafts at most 8 hosts of each service, as its bound is meant; services are few.

--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -365,7 +365,8 @@
         let (ready, busy): (Vec<&Host>, Vec<&Host>) = suitable
             .iter()
             .partition(|host| self.is_vacated(host, at, caution));
-        if ready.len() > self.pass.unplaced {
+        let unplaced = self.unplaced(service);
+        if ready.len() > unplaced {
             return;
         }
         let candidate = self.draft_candidate(at, service, now);
@@ -376,7 +377,7 @@
             if caution == Caution::Isolated || !self.is_queue_isolated(service) {
                 useless.extend(busy);
             }
-        } else if suitable.len() > self.pass.unplaced {
+        } else if suitable.len() > unplaced {
             return;
         }
         let Some(candidate) = candidate else {
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -29,7 +29,7 @@
 /// How long work waits until it counts as delayed, in milliseconds: advice takes less.
 const DELAYED_MS: u64 = 1_000;
 
-/// The most hosts that one pass puts into isolation.
+/// The most hosts of a service that one pass puts into isolation for steps that it does not try.
 const MAX_DRAFTS: usize = 8;
 
 /// Totals that one pass keeps.
@@ -39,8 +39,6 @@
     capacities: HashMap<String, FreeCapacity>,
     /// Capacity within each team's limit that earlier steps of the pass wait for.
     held: HashMap<TeamId, Resources>,
-    /// Steps that need a host in isolation and found none.
-    pub(super) unplaced: usize,
     /// Steps that need an advice call and found no gate that could begin it.
     pub(super) waiting_for_gate: u64,
 }
@@ -56,6 +54,8 @@
     /// Hosts in isolation that are not on trial, less those that earlier steps of the pass use or
     /// ask for; those on which nothing but lasting tasks runs come last.
     isolated: Vec<HostId>,
+    /// The number of steps that need a host in isolation and found none.
+    unplaced: usize,
     /// The most valuable work among that which is not suspected and has waited for a while.
     delayed: Option<Rank>,
     /// Capacity of all hosts.
@@ -115,8 +115,7 @@
         if self.take_isolated(at, &rules.service, caution, now) {
             return false;
         }
-        self.pass.unplaced += 1;
-        if self.pass.unplaced <= MAX_DRAFTS {
+        if self.count_unplaced(&rules.service) <= MAX_DRAFTS {
             self.draft(at, &rules.service, caution, now);
         }
         true
@@ -206,6 +205,21 @@
         taken.is_some()
     }
 
+    /// Counts a step that needs a host in isolation and found none; returns how many have in this
+    /// pass.
+    fn count_unplaced(&mut self, service: &str) -> usize {
+        if let Some(capacity) = self.pass.capacities.get_mut(service) {
+            capacity.unplaced += 1;
+        }
+        self.unplaced(service)
+    }
+
+    /// Returns how many steps need a host of a service in isolation and found none in this pass.
+    pub(super) fn unplaced(&self, service: &str) -> usize {
+        let capacity = self.pass.capacities.get(service);
+        capacity.map_or(0, |capacity| capacity.unplaced)
+    }
+
     /// Deducts the capacity that waiting tasks need from the capacity for which later steps of the
     /// pass may call the advice service; returns whether any was left before.
     fn claim_capacity(&mut self, service: &str, wanted: Resources) -> bool {
@@ -291,7 +305,7 @@
             .step(at)
             .map_or((0, Resources::ZERO), |step| (step.waiting, step.spec.size));
         if left > 0 && caution >= Caution::Isolated {
-            self.pass.unplaced += 1;
+            self.count_unplaced(&rules.service);
             self.draft(at, &rules.service, caution, now);
         }
         if left > 0
