Count the wait of requeued work from when it was requeued

Callers saw jobs that have crashed a host wait on an idle service, although nothing else had waited there for longer than a moment.

Cause: work counts as delayed, and so ends the share of hosts that suspects may use on an idle service, once it has waited for a second. That second was counted from when the step could first start. A task that had run for longer and had to start again was delayed at once, so that the moment which each needs for advice was enough to keep the share at an eighth, or none while one host is away.

Evidence: suspects_of_an_idle_service_do_not_wait_while_other_work_is_requeued, before the change: assertion `left == right` failed left: 0 right: 1 (hosts that run the suspect 3.6 s after its crash: 8 hosts, one other away, single tasks of another queue fail in turn and wait 0.4 s each for advice).

Fix: a step notes since when a task of it has waited at any time: from when it becomes ready, from a requeue if none waited before, and for a gang from each requeue. A step that always has some task waiting counts from the first, even if each waits for a moment only.

--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -120,6 +120,9 @@
     pub advice: StepAdvice,
     /// When the step became ready to run.
     pub ready: Option<Millis>,
+    /// Since when a task has waited for a host at any time; valid while the step is ready and one
+    /// waits.
+    pub queued: Millis,
     /// The earliest time of the next start.
     pub not_before: Millis,
 }
@@ -377,6 +380,7 @@
             gang_stopping: false,
             advice: StepAdvice::default(),
             ready: None,
+            queued: Millis::ZERO,
             not_before: Millis::ZERO,
             spec: spec.clone(),
         }
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -155,8 +155,8 @@
             let Some(job) = self.jobs.get(&at.job) else {
                 continue;
             };
-            let ready = job.step(*at).and_then(|step| step.ready);
-            let waits = ready.is_some_and(|ready| now.since(ready).0 >= DELAYED_MS);
+            let queued = job.step(*at).map(|step| step.queued);
+            let waits = queued.is_some_and(|queued| now.since(queued).0 >= DELAYED_MS);
             if !waits || self.caution(*at) >= Caution::Isolated {
                 continue;
             }
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -447,7 +447,7 @@
                 return;
             }
         }
-        self.requeue_task(name);
+        self.requeue_task(name, now);
     }
 
     fn task_done(&mut self, name: TaskName, now: Millis, out: &mut Vec<Action>) {
@@ -547,6 +547,7 @@
         }
         step.waiting = waiting;
         step.ready.get_or_insert(now);
+        step.queued = now;
         self.ready.insert(at);
         self.dirty = true;
     }
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -357,6 +357,7 @@
                 .and_then(|job| Self::step_of(job, step))
             {
                 state.ready = Some(now);
+                state.queued = now;
                 self.ready.insert(step);
             }
         }
@@ -490,6 +491,7 @@
                     self.due.insert((occurrence.due, step));
                 } else {
                     state.ready = Some(now);
+                    state.queued = now;
                     self.ready.insert(step);
                 }
             }
@@ -562,7 +564,7 @@
     }
 
     /// Puts a task back in the waiting state if none of its runs holds a claim.
-    pub(super) fn requeue_task(&mut self, name: TaskName) {
+    pub(super) fn requeue_task(&mut self, name: TaskName, now: Millis) {
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
             return;
         };
@@ -577,6 +579,9 @@
         };
         if task.phase == Phase::Placed && task.placements.is_empty() {
             task.phase = Phase::Waiting;
+            if step.waiting == 0 {
+                step.queued = now;
+            }
             step.waiting += 1;
             self.ready.insert(name.step);
             self.dirty = true;
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod freshness;
 mod gang_rounds;
+mod idle_share;
 mod leases;
 mod limits;
 mod next_owner;
