Count a step that its team's limit holds back as no work of a pass

Callers saw jobs wait while hosts had room for them and their team was within its limit, for as long as another team with many queued jobs was at its own.

Cause: a pass tries 256 steps, since with more of them ready the fleet is full. Steps that their team's limit holds back counted as well, although trying them finds no host that is full: 256 of them, first in the order of their value, hid all others.

Fix: the limit is checked before the step is tried, in one place for tasks and gangs, and a step that it holds back does not count. Such a step costs a sum and three look-ups by team in each pass, like the sort that it has gone through. A gang of which some members run is broken up as before, whatever the limit.

--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -93,8 +93,7 @@
             if self.lacks_isolated(step, rank, now) {
                 continue;
             }
-            tried += 1;
-            self.place_step(step, rank, now, out);
+            tried += usize::from(self.place_step(step, rank, now, out));
         }
     }
 
@@ -258,21 +257,32 @@
         Some((rank, rules.priority, job.objective, at))
     }
 
-    fn place_step(&mut self, at: StepId, rank: Rank, now: Millis, out: &mut Vec<Action>) {
+    /// Starts what fits of a step; returns whether its team's limit let it try. Steps that a limit
+    /// holds back may be many, and must not use up a pass.
+    fn place_step(&mut self, at: StepId, rank: Rank, now: Millis, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.get(&at.job) else {
-            return;
+            return false;
         };
         let rules = Arc::clone(self.rules_of(&job.flow));
-        let Some(step) = self.step(at) else { return };
-        if step.spec.gang {
-            if step.waiting < step.remaining {
-                self.break_gang(at, now, out);
-            } else {
-                self.place_gang(at, &rules, rank, now, out);
-            }
+        let Some(step) = self.step(at) else {
+            return false;
+        };
+        if step.spec.gang && step.waiting < step.remaining {
+            self.break_gang(at, now, out);
+            return true;
+        }
+        let is_gang = step.spec.gang;
+        let fewest = if is_gang { step.waiting } else { 1 };
+        if !self.within_limit(at, fewest) {
+            self.hold_team_limit(at, rank);
+            return false;
+        }
+        if is_gang {
+            self.place_gang(at, &rules, rank, now, out);
         } else {
             self.place_tasks(at, &rules, rank, now, out);
         }
+        true
     }
 
     fn place_tasks(
@@ -286,19 +296,15 @@
         let waiting = self.waiting_tasks(at);
         let caution = self.caution(at);
         for (index, last_failed_host) in waiting {
-            if !self.within_limit(at, 1) {
-                self.hold_team_limit(at, rank);
-                return;
-            }
             let host = self
                 .need(at, rules, now)
                 .and_then(|need| self.best_host(&need, last_failed_host.as_ref()));
-            match host {
-                Some(host) => {
-                    self.plan_start(TaskName { step: at, index }, &host, now, out);
-                    self.put_on_trial(&host, at, caution, now);
-                }
-                None => break,
+            let Some(host) = host else { break };
+            self.plan_start(TaskName { step: at, index }, &host, now, out);
+            self.put_on_trial(&host, at, caution, now);
+            if !self.within_limit(at, 1) {
+                self.hold_team_limit(at, rank);
+                return;
             }
         }
         let (left, size) = self
@@ -351,10 +357,6 @@
         out: &mut Vec<Action>,
     ) {
         let count = self.step(at).map_or(0, |step| step.waiting);
-        if !self.within_limit(at, count) {
-            self.hold_team_limit(at, rank);
-            return;
-        }
         let hosts = self
             .need(at, rules, now)
             .and_then(|need| self.gang_hosts(&need));
--- a/wigeongate-core/tests/workflow/limits.rs
+++ b/wigeongate-core/tests/workflow/limits.rs
@@ -124,3 +124,52 @@
     started.sort_unstable();
     assert_eq!(started, [1, 9]);
 }
+
+/// Guards against a bound on the work of a pass that steps which cannot start use up for the others.
+#[test]
+fn steps_that_their_teams_limit_holds_back_do_not_hide_others() {
+    let now = Millis(10_000);
+    let gang = StepSpec {
+        gang: true,
+        ..step(2, CORE)
+    };
+    let mut failed = Vec::new();
+    for (held_back, kind) in [
+        (100, step(1, CORE)),
+        (300, step(1, CORE)),
+        (300, gang),
+        (900, step(3, CORE)),
+    ] {
+        let maximum = Resources {
+            cpu: CORE,
+            ..Resources::UNBOUNDED
+        };
+        let mut rules = rules(3, maximum);
+        let other = TeamId::from("other");
+        let team_rules = TeamRules {
+            weight: 1_000.0,
+            maximum: Resources::UNBOUNDED,
+        };
+        rules.teams.insert(other.clone(), team_rules);
+        let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), now);
+        scheduler.configure(Arc::new(rules));
+        let mut actions = Vec::new();
+        add_host(&mut scheduler, 64 * CORE, Vec::new(), now);
+        scheduler.submit(flow(1, vec![step(1, CORE)], None), now, Millis::ZERO);
+        place(&mut scheduler, now, &mut actions);
+        for id in 2..2 + held_back {
+            let flow = flow(id, vec![kind.clone()], None);
+            scheduler.submit(flow, now, Millis::ZERO);
+        }
+        let mut of_other = flow(9_000, vec![step(1, CORE)], None);
+        of_other.team = Some(other);
+        let later = now + Millis(10);
+        scheduler.submit(of_other, later, Millis::ZERO);
+        actions.clear();
+        place(&mut scheduler, later, &mut actions);
+        if starts(&actions) != 1 {
+            failed.push((held_back, kind.gang));
+        }
+    }
+    assert!(failed.is_empty(), "held back, gangs: {failed:?}");
+}
