--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, Stage, Trial};
+use super::host::{Claim, Host, Stage, Trial};
 use super::isolation::Caution;
 use super::job::{Phase, Rank, Task};
 use super::message::{Action, StartOrder};
@@ -29,7 +29,7 @@
 /// How long work waits until it counts as delayed, in milliseconds: advice takes less.
 const DELAYED_MS: u64 = 1_000;
 
-/// The most hosts that one pass puts into isolation.
+/// The most hosts of a service that one pass puts into isolation for steps that it does not try.
 const MAX_DRAFTS: usize = 8;
 
 /// Totals that one pass keeps.
@@ -39,25 +39,23 @@
     capacities: HashMap<String, FreeCapacity>,
     /// Capacity within each team's limit that earlier steps of the pass wait for.
     held: HashMap<TeamId, Resources>,
-    /// Steps that need a host in isolation and found none.
-    pub(super) unplaced: usize,
     /// Steps that need an advice call and found no gate that could begin it.
     pub(super) waiting_for_gate: u64,
 }
 
 /// Free capacity on the hosts of one service.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 struct FreeCapacity {
     /// The largest free amount of each resource on any one host.
     largest: Resources,
     /// Free capacity on all hosts that are not in isolation, less what earlier steps of the pass
     /// need.
     unclaimed: Resources,
-    /// The number of hosts in isolation that are not on trial, less those that earlier steps
-    /// of the pass use or ask for.
-    isolated: usize,
-    /// Those among them on which nothing but lasting tasks runs.
-    vacant: usize,
+    /// Hosts in isolation that are not on trial, less those that earlier steps of the pass use or
+    /// ask for; those on which nothing but lasting tasks runs come last.
+    isolated: Vec<HostId>,
+    /// The number of steps that need a host in isolation and found none.
+    unplaced: usize,
     /// The most valuable work among that which is not suspected and has waited for a while.
     delayed: Option<Rank>,
     /// Capacity of all hosts.
@@ -95,8 +93,7 @@
             if self.lacks_isolated(step, rank, now) {
                 continue;
             }
-            tried += 1;
-            self.place_step(step, rank, now, out);
+            tried += usize::from(self.place_step(step, rank, now, out));
         }
     }
 
@@ -114,11 +111,10 @@
         if rank >= Rank::Worthless && !self.may_lose_hosts(&rules.service) {
             return true;
         }
-        if self.take_isolated(&rules.service, caution) {
+        if self.take_isolated(at, &rules.service, caution, now) {
             return false;
         }
-        self.pass.unplaced += 1;
-        if self.pass.unplaced <= MAX_DRAFTS {
+        if self.count_unplaced(&rules.service) <= MAX_DRAFTS {
             self.draft(at, &rules.service, caution, now);
         }
         true
@@ -136,15 +132,18 @@
                 capacity.largest = capacity.largest.max(&free);
                 if host.isolated <= now {
                     capacity.unclaimed += free;
-                } else {
-                    let is_free = host.trial.is_none();
-                    capacity.isolated += usize::from(is_free);
-                    capacity.vacant += usize::from(is_free && host.is_vacant());
+                } else if host.trial.is_none() {
+                    capacity.isolated.push(host.entry.id.clone());
                 }
                 capacity.total += host.entry.capacity;
                 capacity.used += host.used;
             }
         }
+        for capacity in capacities.values_mut() {
+            let is_vacant = |id: &HostId| self.hosts.get(id).is_some_and(Host::is_vacant);
+            let isolated = &mut capacity.isolated;
+            isolated.sort_by_cached_key(|id| (is_vacant(id), id.clone()));
+        }
         capacities
     }
 
@@ -155,8 +154,8 @@
             let Some(job) = self.jobs.get(&at.job) else {
                 continue;
             };
-            let ready = job.step(*at).and_then(|step| step.ready);
-            let waits = ready.is_some_and(|ready| now.since(ready).0 >= DELAYED_MS);
+            let queued = job.step(*at).map(|step| step.queued);
+            let waits = queued.is_some_and(|queued| now.since(queued).0 >= DELAYED_MS);
             if !waits || self.caution(*at) >= Caution::Isolated {
                 continue;
             }
@@ -187,19 +186,37 @@
         self.pass.capacities.get(service)?.delayed
     }
 
-    /// Takes one of the hosts in isolation for a step; returns whether one was left. Only as many
-    /// steps as there are such hosts ask for advice, since tickets expire unused otherwise.
-    fn take_isolated(&mut self, service: &str, caution: Caution) -> bool {
-        let Some(capacity) = self.pass.capacities.get_mut(service) else {
-            return false;
+    /// Takes one of the hosts in isolation that a step may use; returns whether one was left. Only as
+    /// many steps as there are such hosts ask for advice, since tickets expire unused otherwise.
+    fn take_isolated(&mut self, at: StepId, service: &str, caution: Caution, now: Millis) -> bool {
+        let suits = |id: &HostId| {
+            let is_usable = |host: &Host| {
+                (caution < Caution::Alone || host.is_vacant()) && self.may_try(host, at, now)
+            };
+            self.hosts.get(id).is_some_and(is_usable)
         };
-        let needs_vacant = caution == Caution::Alone;
-        if capacity.isolated == 0 || (needs_vacant && capacity.vacant == 0) {
-            return false;
+        let left = self.pass.capacities.get(service);
+        let taken = left.and_then(|left| left.isolated.iter().position(suits));
+        let left = self.pass.capacities.get_mut(service);
+        if let (Some(left), Some(taken)) = (left, taken) {
+            left.isolated.remove(taken);
         }
-        capacity.isolated -= 1;
-        capacity.vacant = capacity.vacant.saturating_sub(usize::from(needs_vacant));
-        true
+        taken.is_some()
+    }
+
+    /// Counts a step that needs a host in isolation and found none; returns how many have in this
+    /// pass.
+    fn count_unplaced(&mut self, service: &str) -> usize {
+        if let Some(capacity) = self.pass.capacities.get_mut(service) {
+            capacity.unplaced += 1;
+        }
+        self.unplaced(service)
+    }
+
+    /// Returns how many steps need a host of a service in isolation and found none in this pass.
+    pub(super) fn unplaced(&self, service: &str) -> usize {
+        let capacity = self.pass.capacities.get(service);
+        capacity.map_or(0, |capacity| capacity.unplaced)
     }
 
     /// Deducts the capacity that waiting tasks need from the capacity for which later steps of the
@@ -240,21 +257,32 @@
         Some((rank, rules.priority, job.objective, at))
     }
 
-    fn place_step(&mut self, at: StepId, rank: Rank, now: Millis, out: &mut Vec<Action>) {
+    /// Starts what fits of a step; returns whether its team's limit let it try. Steps that a limit
+    /// holds back may be many, and must not use up a pass.
+    fn place_step(&mut self, at: StepId, rank: Rank, now: Millis, out: &mut Vec<Action>) -> bool {
         let Some(job) = self.jobs.get(&at.job) else {
-            return;
+            return false;
         };
         let rules = Arc::clone(self.rules_of(&job.flow));
-        let Some(step) = self.step(at) else { return };
-        if step.spec.gang {
-            if step.waiting < step.remaining {
-                self.break_gang(at, now, out);
-            } else {
-                self.place_gang(at, &rules, rank, now, out);
-            }
+        let Some(step) = self.step(at) else {
+            return false;
+        };
+        if step.spec.gang && step.waiting < step.remaining {
+            self.break_gang(at, now, out);
+            return true;
+        }
+        let is_gang = step.spec.gang;
+        let fewest = if is_gang { step.waiting } else { 1 };
+        if !self.within_limit(at, fewest) {
+            self.hold_team_limit(at, rank);
+            return false;
+        }
+        if is_gang {
+            self.place_gang(at, &rules, rank, now, out);
         } else {
             self.place_tasks(at, &rules, rank, now, out);
         }
+        true
     }
 
     fn place_tasks(
@@ -268,26 +296,22 @@
         let waiting = self.waiting_tasks(at);
         let caution = self.caution(at);
         for (index, last_failed_host) in waiting {
-            if !self.within_limit(at, 1) {
-                self.hold_team_limit(at, rank);
-                return;
-            }
             let host = self
                 .need(at, rules, now)
                 .and_then(|need| self.best_host(&need, last_failed_host.as_ref()));
-            match host {
-                Some(host) => {
-                    self.plan_start(TaskName { step: at, index }, &host, now, out);
-                    self.put_on_trial(&host, at, caution, now);
-                }
-                None => break,
+            let Some(host) = host else { break };
+            self.plan_start(TaskName { step: at, index }, &host, now, out);
+            self.put_on_trial(&host, at, caution, now);
+            if !self.within_limit(at, 1) {
+                self.hold_team_limit(at, rank);
+                return;
             }
         }
         let (left, size) = self
             .step(at)
             .map_or((0, Resources::ZERO), |step| (step.waiting, step.spec.size));
         if left > 0 && caution >= Caution::Isolated {
-            self.pass.unplaced += 1;
+            self.count_unplaced(&rules.service);
             self.draft(at, &rules.service, caution, now);
         }
         if left > 0
@@ -333,10 +357,6 @@
         out: &mut Vec<Action>,
     ) {
         let count = self.step(at).map_or(0, |step| step.waiting);
-        if !self.within_limit(at, count) {
-            self.hold_team_limit(at, rank);
-            return;
-        }
         let hosts = self
             .need(at, rules, now)
             .and_then(|need| self.gang_hosts(&need));
