Cut the path to the store alone in the model of releases

A draining host whose path to the store was cut had always lost the path to the owner as well. A case of its own holds, so that `left` breaks only where new connections are refused by a cut.

--- a/wigeongate-core/tests/release_proofs/faults.rs
+++ b/wigeongate-core/tests/release_proofs/faults.rs
@@ -181,6 +181,9 @@
         faults.push((at, Fault::CutOff { machine, cut }));
         let until = end;
         faults.push((from, Fault::StoreCutOff { machine, until }));
+    } else if has(Kind::StoreCut) && rng.chance(70) {
+        let until = at + rng.between(500, 9_000);
+        faults.push((at, Fault::StoreCutOff { machine, until }));
     }
     if has(Kind::Handover) && rng.chance(40) {
         let at = at + rng.below(3_000);
