--- a/wigeongate-core/tests/release_proofs/main.rs
+++ b/wigeongate-core/tests/release_proofs/main.rs
@@ -133,7 +133,6 @@
 }
 
 #[test]
-#[ignore = "issue 44"]
 fn a_late_answer_at_an_earlier_address_ends_no_run() {
     let cases = [Case {
         name: "hosts move, and another executor starts at their address",
