Show that hosts lost together keep suspects from any host

Callers see a job that has crashed a host wait while hosts are vacant, for as long as an availability zone or a part of the fleet is away, if other work in time waits as well, be it for a label that no host has.

Cause: the share of hosts that retrials may use is reduced by all hosts that were lost with suspects on them, hosts lost together included, although the runs on those are not blamed for it.

Evidence: suspects_do_not_wait_while_hosts_that_were_lost_together_are_away: waits beside the loss of ["a part of the fleet", "an availability zone"] (6 and 16 of 48 hosts; the case without a loss holds).

Not fixed, so the test is listed as red.

--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod freshness;
 mod gang_rounds;
+mod group_losses;
 mod idle_share;
 mod leases;
 mod limits;
