Do not count orders that the owner holds back as failures of their host

Callers saw starts wait for a second and more after a host had missed one poll, although it answered the next one.

Cause: an order that waits for a connection is not sent once a poll of the host has failed, since its lease might outlast those of an earlier boot. The owner reported that to the scheduler as an order for which no connection could be opened, which counts as a failure of the host; three of them pause it for 1 s, and up to 4 s when it comes again.

Evidence: orders_that_wait_behind_a_failed_poll_are_no_failures_of_the_host with the answer that the owner gave before in the first case: [(NotSent, 0)] where four jobs are to start with the next report, 200 ms later.

Fix: such an order has an answer of its own, which frees the task without a judgement on the host. A host that is silent gets no work before its next report anyway. The model of leases gives the same answer as the owner now. Refused connections count as before. Metrics show these starts as "held back".

--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -120,6 +120,10 @@
     /// No connection could be opened.
     #[display("not sent")]
     NotSent,
+    /// The owner did not try to send it: the host has fallen silent since the order, or the owner
+    /// may grant no lease for as long.
+    #[display("held back")]
+    Held,
 }
 
 /// Result of a start order.
--- a/wigeongate-core/src/workflow/order_results.rs
+++ b/wigeongate-core/src/workflow/order_results.rs
@@ -69,7 +69,8 @@
                     host.record_failure(None, now);
                 }
                 Refusal::Boot => host.answered = false,
-                Refusal::Fence | Refusal::Old | Refusal::Room | Refusal::Ticket => {}
+                Refusal::Fence | Refusal::Old | Refusal::Room | Refusal::Ticket | Refusal::Held => {
+                }
             }
         }
         if let Some(step) = self.step(key.0.step) {
--- a/wigeongate-core/tests/lease_model/model/gates.rs
+++ b/wigeongate-core/tests/lease_model/model/gates.rs
@@ -376,7 +376,7 @@
             let call = HostCall::Start(run, start.deadline);
             self.schedule(0, Event::Send(life, call, self.now, boot));
         } else {
-            let result = StartResult::Refused(Refusal::NotSent);
+            let result = StartResult::Refused(Refusal::Held);
             self.schedule(0, Event::Started(life, run, result));
         }
     }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -8,6 +8,7 @@
 mod freshness;
 mod gang_rounds;
 mod group_losses;
+mod held_orders;
 mod idle_share;
 mod leases;
 mod limits;
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -323,7 +323,7 @@
             |start: &StartLease| locked(&self.lease).may_send(start, started, self.last_grant());
         let orders_allowed = self.orders_allowed.load(Ordering::Relaxed);
         let result = match planned.filter(|start| orders_allowed && may_send(start)) {
-            None => StartResult::Refused(Refusal::NotSent),
+            None => StartResult::Refused(Refusal::Held),
             Some(StartLease { deadline, .. }) => {
                 match self.executors.start(&self.target(), &order, deadline).await {
                     Ok(result) => result,
