--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -7,6 +7,8 @@
 mod crashes;
 mod freshness;
 mod gang_rounds;
+mod group_losses;
+mod held_orders;
 mod idle_share;
 mod leases;
 mod limits;
