--- a/wigeongate-core/tests/release_proofs/main.rs
+++ b/wigeongate-core/tests/release_proofs/main.rs
@@ -111,6 +111,11 @@
     check(DRAINS, 0..250);
 }
 
+#[test]
+fn a_process_that_hands_over_its_address_keeps_its_runs() {
+    check(&HANDOVERS[..1], 0..600);
+}
+
 #[test]
 #[ignore = "issue 44"]
 fn a_process_that_closes_its_listener_keeps_its_runs() {
