--- a/wigeongate-bench/src/cli.rs
+++ b/wigeongate-bench/src/cli.rs
@@ -10,6 +10,9 @@
 use crate::overload::{OverloadOptions, overload_options};
 use crate::pack::{PackOptions, pack_options};
 use crate::path::{PathOptions, path_options};
+use crate::serve_soak::executor::{ExecutorOptions, executor_options};
+use crate::serve_soak::store::{StoreOptions, store_options};
+use crate::serve_soak::{ServeSoakOptions, serve_soak_options};
 use crate::share::{ShareOptions, share_options};
 use crate::soak::{SoakOptions, soak_options};
 use crate::takeover::{TakeoverOptions, takeover_options};
@@ -50,6 +53,15 @@
     /// Requests under faults, with a check of their history.
     #[bpaf(command)]
     Soak(#[bpaf(external(soak_options))] SoakOptions),
+    /// Gates of `serve`, executors and a store as processes under faults.
+    #[bpaf(command("serve-soak"))]
+    ServeSoak(#[bpaf(external(serve_soak_options))] ServeSoakOptions),
+    /// The store of `serve-soak`.
+    #[bpaf(command("serve-soak-store"), hide)]
+    ServeSoakStore(#[bpaf(external(store_options))] StoreOptions),
+    /// An executor of `serve-soak`.
+    #[bpaf(command("serve-soak-executor"), hide)]
+    ServeSoakExecutor(#[bpaf(external(executor_options))] ExecutorOptions),
     /// The time from a change of the configuration to its being in force everywhere.
     #[bpaf(command)]
     Config(#[bpaf(external(config_options))] ConfigOptions),
--- a/wigeongate-bench/src/main.rs
+++ b/wigeongate-bench/src/main.rs
@@ -20,6 +20,7 @@
 mod overload;
 mod pack;
 mod path;
+mod serve_soak;
 mod share;
 mod sim;
 mod site;
@@ -44,6 +45,9 @@
         Command::Path(options) => path::run(&options),
         Command::Overload(options) => overload::run(&options),
         Command::Soak(options) => soak::run(&options),
+        Command::ServeSoak(options) => serve_soak::run(&options),
+        Command::ServeSoakStore(options) => serve_soak::store::run(&options),
+        Command::ServeSoakExecutor(options) => serve_soak::executor::run(&options),
         Command::Config(options) => config::run(&options),
         Command::Takeover(options) => takeover::run(&options),
         Command::Outage(options) => outage::run(&options),
--- /dev/null
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -0,0 +1,362 @@
+//! Faults that are drawn by seed and overlap.
+
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use eyre::{Result, eyre};
+use nix::sys::signal::Signal;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use tokio::time::sleep;
+
+use super::lines::unix_ms;
+use super::proxy::{Flow, Proxy};
+use super::site::{Executor, Site};
+
+/// A kind of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
+pub enum Kind {
+    /// The owner is frozen.
+    #[display("freeze-owner")]
+    FreezeOwner,
+    /// An executor is frozen; its clock goes on.
+    #[display("freeze-executor")]
+    FreezeExecutor,
+    /// All processes are frozen; the clocks go on.
+    #[display("freeze-all")]
+    FreezeAll,
+    /// An executor is suspended, and its clock stands still.
+    #[display("suspend-executor")]
+    SuspendExecutor,
+    /// All processes are suspended, and the executors' clocks stand still.
+    #[display("suspend-all")]
+    SuspendAll,
+    /// An executor's address refuses new connections and open ones are reset.
+    #[display("refused")]
+    Refused,
+    /// An executor's address refuses new connections; open ones work.
+    #[display("refused-new")]
+    RefusedNew,
+    /// An executor's address refuses new connections; open ones are silent for good.
+    #[display("refused-silent")]
+    RefusedSilent,
+    /// Open connections to an executor are silent for good; new ones work.
+    #[display("silent")]
+    Silent,
+    /// Answers of an executor are held.
+    #[display("held-back")]
+    HeldBack,
+    /// Calls to an executor are held.
+    #[display("held-towards")]
+    HeldTowards,
+    /// Calls to an executor and its answers are held.
+    #[display("held")]
+    Held,
+    /// All executors are cut from the gates.
+    #[display("held-many")]
+    HeldMany,
+    /// The owner's calls to the store are refused.
+    #[display("store-refused")]
+    StoreRefused,
+    /// The owner's calls to the store are held.
+    #[display("store-held")]
+    StoreHeld,
+    /// The store is away; leases pause.
+    #[display("store-away")]
+    StoreAway,
+    /// The store is away; leases end.
+    #[display("store-expires")]
+    StoreExpires,
+    /// An executor shuts down, and a new one joins.
+    #[display("drain")]
+    Drain,
+    /// An executor that drains cannot reach the store, and its address refuses connections.
+    #[display("drain-cut")]
+    DrainCut,
+    /// An executor shuts down while a new one already listens at its address.
+    #[display("replace")]
+    Replace,
+    /// The owner is killed and restarts.
+    #[display("kill-owner")]
+    KillOwner,
+    /// An executor is killed and restarts under its identifier.
+    #[display("kill-executor")]
+    KillExecutor,
+}
+
+/// All kinds.
+const KINDS: [Kind; 22] = [
+    Kind::FreezeOwner,
+    Kind::FreezeExecutor,
+    Kind::FreezeAll,
+    Kind::SuspendExecutor,
+    Kind::SuspendAll,
+    Kind::Refused,
+    Kind::RefusedNew,
+    Kind::RefusedSilent,
+    Kind::Silent,
+    Kind::HeldBack,
+    Kind::HeldTowards,
+    Kind::Held,
+    Kind::HeldMany,
+    Kind::StoreRefused,
+    Kind::StoreHeld,
+    Kind::StoreAway,
+    Kind::StoreExpires,
+    Kind::Drain,
+    Kind::DrainCut,
+    Kind::Replace,
+    Kind::KillOwner,
+    Kind::KillExecutor,
+];
+
+impl FromStr for Kind {
+    type Err = eyre::Report;
+
+    fn from_str(name: &str) -> Result<Self> {
+        let mut kinds = KINDS.into_iter();
+        kinds
+            .find(|kind| kind.to_string() == name)
+            .ok_or_else(|| eyre!("there is no fault {name:?}"))
+    }
+}
+
+/// A fault of a play.
+#[derive(Debug, Clone, Copy)]
+pub struct Fault {
+    /// Its kind.
+    pub kind: Kind,
+    /// When it begins, in milliseconds of the play.
+    pub at: u64,
+    /// How long it lasts, in milliseconds.
+    pub ms: u64,
+    /// Another time that the kind needs, in milliseconds.
+    pub more: u64,
+    /// Which process it hits.
+    pick: usize,
+}
+
+/// Draws the faults of a play; `only` holds the kinds, empty for those that a steady clock survives.
+pub fn draw(seed: u64, seconds: u64, only: &[Kind]) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let suspends = [Kind::SuspendExecutor, Kind::SuspendAll];
+    let kinds: Vec<Kind> = if only.is_empty() {
+        let all = KINDS.into_iter();
+        all.filter(|kind| !suspends.contains(kind)).collect()
+    } else {
+        only.to_vec()
+    };
+    let mut faults = Vec::new();
+    let mut at = 3_000;
+    while at + 7_000 < seconds * 1_000 {
+        let kind = kinds[rng.random_range(0..kinds.len())];
+        let ms = match kind {
+            Kind::FreezeExecutor | Kind::SuspendExecutor => rng.random_range(3_000..14_000),
+            Kind::FreezeAll | Kind::SuspendAll => rng.random_range(4_000..7_000),
+            Kind::StoreRefused | Kind::StoreHeld | Kind::StoreAway | Kind::StoreExpires => {
+                rng.random_range(2_000..6_000)
+            }
+            _ if rng.random_bool(0.5) => rng.random_range(5_300..6_600),
+            _ => rng.random_range(3_000..7_000),
+        };
+        faults.push(Fault {
+            kind,
+            at,
+            ms,
+            more: rng.random_range(0..10_000),
+            pick: rng.random_range(0..1_000_000),
+        });
+        at += rng.random_range(500..3_500);
+    }
+    faults
+}
+
+fn note(kind: Kind, what: &str) {
+    eprintln!("{} {kind}: {what}", super::time_of_day(unix_ms()));
+}
+
+async fn pause(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
+
+/// Returns an identifier for a new executor.
+fn next_id() -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    format!("n-{}", NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Carries out a fault and takes it back.
+pub async fn inject(site: Arc<Site>, fault: Fault) -> Result<()> {
+    let Fault { kind, ms, more, .. } = fault;
+    let executors = site.executors();
+    let Some(executor) = executors.get(fault.pick % executors.len().max(1)) else {
+        return Ok(());
+    };
+    let link = &executor.link;
+    let hits = |what: &str| note(kind, &format!("{what} for {ms} ms"));
+    match kind {
+        Kind::FreezeOwner => {
+            let owner = site.owner().await;
+            hits(&owner.name);
+            owner.signal(Signal::SIGSTOP);
+            pause(ms).await;
+            owner.signal(Signal::SIGCONT);
+        }
+        Kind::FreezeExecutor | Kind::SuspendExecutor => {
+            hits(&executor.id);
+            if kind == Kind::SuspendExecutor {
+                executor.command("stand-still").await;
+                pause(30).await;
+            }
+            executor.signal(Signal::SIGSTOP);
+            pause(ms).await;
+            executor.signal(Signal::SIGCONT);
+        }
+        Kind::FreezeAll | Kind::SuspendAll => {
+            hits("everything");
+            if kind == Kind::SuspendAll {
+                for executor in &executors {
+                    executor.command("stand-still").await;
+                }
+                pause(30).await;
+            }
+            site.signal_all(Signal::SIGSTOP);
+            pause(ms).await;
+            site.signal_all(Signal::SIGCONT);
+        }
+        Kind::Refused | Kind::RefusedNew | Kind::RefusedSilent => {
+            hits(&executor.id);
+            link.refuse(true);
+            match kind {
+                Kind::Refused => link.reset(),
+                Kind::RefusedSilent => link.silence(true, true),
+                _ => {}
+            }
+            pause(ms).await;
+            link.refuse(false);
+        }
+        Kind::Silent => {
+            note(kind, &executor.id);
+            link.silence(true, more % 2 == 0);
+        }
+        Kind::HeldBack | Kind::HeldTowards | Kind::Held => {
+            hits(&executor.id);
+            hold(kind, link);
+            pause(ms).await;
+            link.set_flow(Flow::Pass, Flow::Pass);
+        }
+        Kind::HeldMany => {
+            hits("all executors");
+            executors.iter().for_each(|it| hold(Kind::Held, &it.link));
+            pause(ms).await;
+            let links = executors.iter().map(|it| &it.link);
+            links.for_each(|it| it.set_flow(Flow::Pass, Flow::Pass));
+        }
+        Kind::StoreRefused | Kind::StoreHeld => {
+            let owner = site.owner().await;
+            hits(&owner.name);
+            if kind == Kind::StoreRefused {
+                owner.store.refuse(true);
+                owner.store.reset();
+            } else {
+                owner.store.set_flow(Flow::Hold, Flow::Hold);
+            }
+            pause(ms).await;
+            owner.store.refuse(false);
+            owner.store.set_flow(Flow::Pass, Flow::Pass);
+        }
+        Kind::StoreAway | Kind::StoreExpires => {
+            hits("store");
+            let is_paused = kind == Kind::StoreAway;
+            let command = if is_paused { "pause" } else { "expire" };
+            site.command_store(command).await;
+            let links = || {
+                let gates = site.gates.iter().map(|gate| &gate.store);
+                gates.chain(executors.iter().map(|it| &it.store))
+            };
+            if more % 3 > 0 {
+                links().for_each(|link| {
+                    link.refuse(true);
+                    link.reset();
+                });
+            }
+            pause(ms).await;
+            site.command_store("back").await;
+            links().for_each(|link| link.refuse(false));
+        }
+        Kind::Drain | Kind::DrainCut | Kind::Replace => {
+            shut_down(&site, fault, executor).await?;
+        }
+        Kind::KillOwner => {
+            let owner = site.owner().await;
+            note(kind, &owner.name);
+            owner.signal(Signal::SIGKILL);
+            while !owner.has_ended() {
+                pause(5).await;
+            }
+            pause(200 + more / 5).await;
+            owner.restart()?;
+        }
+        Kind::KillExecutor => {
+            note(kind, &executor.id);
+            site.kill_executor(executor).await;
+            pause(100 + more / 4).await;
+            site.replace_executor(&executor.id, executor)?;
+        }
+    }
+    note(kind, "over");
+    Ok(())
+}
+
+fn hold(kind: Kind, link: &Proxy) {
+    let flow = |holds: bool| if holds { Flow::Hold } else { Flow::Pass };
+    link.set_flow(
+        flow(kind != Kind::HeldBack),
+        flow(kind != Kind::HeldTowards),
+    );
+}
+
+/// Shuts an executor down in the way of the kind of fault; a new one takes its place.
+async fn shut_down(site: &Site, fault: Fault, old: &Arc<Executor>) -> Result<()> {
+    let Fault { kind, more, .. } = fault;
+    note(kind, &format!("{} drains for 2 s and {more} ms", old.id));
+    old.command(&format!("drain {more}")).await;
+    let mut new = None;
+    match kind {
+        Kind::DrainCut => {
+            pause(500).await;
+            note(kind, &format!("{} no longer reaches the store", old.id));
+            old.store.refuse(true);
+            old.store.reset();
+            // Its registration ends 3 to 4.5 s later.
+            let late = fault.ms - 3_000;
+            pause(2_500 + late).await;
+            note(kind, &format!("{} refuses connections", old.id));
+            old.link.refuse(true);
+            old.link.reset();
+            pause(fault.ms).await;
+            old.link.refuse(false);
+            old.store.refuse(false);
+        }
+        Kind::Replace => {
+            pause(500 + fault.ms / 4).await;
+            let id = next_id();
+            note(kind, &format!("{id} listens at the address of {}", old.id));
+            new = Some(site.replace_executor(&id, old)?);
+        }
+        _ => {}
+    }
+    while !old.has_ended() {
+        pause(20).await;
+    }
+    site.remove_executor(old);
+    if new.is_none() {
+        old.link.refuse(true);
+        old.link.reset();
+        pause(1_000).await;
+        site.add_executor(&next_id(), fault.pick)?;
+    }
+    Ok(())
+}
