--- a/wigeongate-bench/src/serve_soak.rs
+++ b/wigeongate-bench/src/serve_soak.rs
@@ -54,6 +54,8 @@
     /// The folder in which the logs of a failing play are kept.
     #[bpaf(fallback(PathBuf::from("serve-soak")))]
     logs: PathBuf,
+    /// Keeps the logs of a play that holds as well.
+    keep: bool,
 }
 
 /// The figures of one play.
@@ -76,6 +78,8 @@
     lost: Vec<String>,
     /// Accepted jobs that have not ended in time.
     open: Vec<String>,
+    /// How the gates counted runs as ended without a report, and how often.
+    unreported: BTreeMap<String, usize>,
     /// How the first runs of overlaps were counted as ended, and how often.
     proofs: BTreeMap<String, usize>,
 }
@@ -115,6 +119,9 @@
     let figures = figures(options, &faults, &jobs, &runs, &breaks, &folder);
     println!("{}", serde_json::to_string(&figures)?);
     if breaks.is_empty() && figures.lost.is_empty() && figures.open.is_empty() {
+        if options.keep {
+            return Ok(());
+        }
         std::fs::remove_dir_all(&folder)?;
         return Ok(());
     }
@@ -190,6 +197,10 @@
     }
     let mut proofs = BTreeMap::new();
     let logs = gate_logs(folder);
+    let mut unreported = BTreeMap::new();
+    for (_, line) in logs.iter().filter(|(_, line)| is_unreported(line)) {
+        *unreported.entry(proof_of(line)).or_default() += 1;
+    }
     for it in breaks {
         let proof = print_break(it, &logs);
         *proofs.entry(proof).or_default() += 1;
@@ -228,6 +239,7 @@
                 "410" | "failed" | "cancelled" | "completed"
             )
         }),
+        unreported,
         proofs,
     }
 }
@@ -249,6 +261,15 @@
     found
 }
 
+fn is_unreported(line: &Value) -> bool {
+    let message = line["message"].as_str().unwrap_or_default();
+    message.contains("ended without a report")
+}
+
+fn proof_of(line: &Value) -> String {
+    line["proof"].as_str().unwrap_or("?").to_owned()
+}
+
 /// Prints a break with the lines of the gates about its first run; returns the proof by which that
 /// was counted as ended.
 fn print_break(it: &Break, logs: &[(String, Value)]) -> String {
@@ -280,14 +301,13 @@
     );
     let mut proof = "none".to_owned();
     for (gate, line) in logs {
-        let message = line["message"].as_str().unwrap_or_default();
         let is_of_task = line["task"].as_str() == Some(&it.first.task);
-        if !is_of_task || !message.contains("ended without a report") {
+        if !is_of_task || !is_unreported(line) {
             continue;
         }
         eprintln!("  {gate} {line}");
         if line["run"].as_u64() == Some(it.first.run) {
-            line["proof"].as_str().unwrap_or("?").clone_into(&mut proof);
+            proof = proof_of(line);
         }
     }
     proof
