--- a/wigeongate-bench/src/serve_soak.rs
+++ b/wigeongate-bench/src/serve_soak.rs
@@ -230,8 +230,8 @@
         overlaps: breaks.iter().filter(|it| !it.after_done).count(),
         after_done: breaks.iter().filter(|it| it.after_done).count(),
         lost: named(&|job| {
-            let is_unknown = matches!(job.state.as_str(), "410" | "failed");
-            is_unknown && !job.cancelled || job.state == "cancelled" && !job.cancelled
+            let has_ended = matches!(job.state.as_str(), "410" | "failed" | "cancelled");
+            has_ended && !job.cancelled
         }),
         open: named(&|job| {
             !matches!(
@@ -280,7 +280,7 @@
         let polled = run.unix + run.polled.0.saturating_sub(run.start);
         format!(
             "run {} on {} start {} end {end} {} noted {} last poll {}",
-            run.run,
+            run.number,
             run.host,
             time_of_day(run.unix),
             run.how,
@@ -306,7 +306,7 @@
             continue;
         }
         eprintln!("  {gate} {line}");
-        if line["run"].as_u64() == Some(it.first.run) {
+        if line["run"].as_u64() == Some(it.first.number) {
             proof = proof_of(line);
         }
     }
--- a/wigeongate-bench/src/serve_soak/check.rs
+++ b/wigeongate-bench/src/serve_soak/check.rs
@@ -10,7 +10,7 @@
     /// The task.
     pub task: String,
     /// Its number.
-    pub run: u64,
+    pub number: u64,
     /// The executor.
     pub host: String,
     /// The process of the executor.
@@ -51,7 +51,7 @@
         known.insert((line.process, &line.task, line.run), runs.len());
         runs.push(Run {
             task: line.task.clone(),
-            run: line.run,
+            number: line.run,
             host: line.host.clone(),
             process: line.process,
             start: line.at,
--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -78,6 +78,9 @@
     /// An executor shuts down while a new one already listens at its address.
     #[display("replace")]
     Replace,
+    /// The same, and open connections to the old executor are silent for good.
+    #[display("replace-silent")]
+    ReplaceSilent,
     /// The owner is killed and restarts.
     #[display("kill-owner")]
     KillOwner,
@@ -87,7 +90,7 @@
 }
 
 /// All kinds.
-const KINDS: [Kind; 22] = [
+const KINDS: [Kind; 23] = [
     Kind::FreezeOwner,
     Kind::FreezeExecutor,
     Kind::FreezeAll,
@@ -108,6 +111,7 @@
     Kind::Drain,
     Kind::DrainCut,
     Kind::Replace,
+    Kind::ReplaceSilent,
     Kind::KillOwner,
     Kind::KillExecutor,
 ];
@@ -189,45 +193,93 @@
 
 /// Carries out a fault and takes it back.
 pub async fn inject(site: Arc<Site>, fault: Fault) -> Result<()> {
-    let Fault { kind, ms, more, .. } = fault;
+    let kind = fault.kind;
     let executors = site.executors();
     let Some(executor) = executors.get(fault.pick % executors.len().max(1)) else {
         return Ok(());
     };
-    let link = &executor.link;
-    let hits = |what: &str| note(kind, &format!("{what} for {ms} ms"));
     match kind {
-        Kind::FreezeOwner => {
-            let owner = site.owner().await;
-            hits(&owner.name);
-            owner.signal(Signal::SIGSTOP);
-            pause(ms).await;
-            owner.signal(Signal::SIGCONT);
+        Kind::FreezeOwner
+        | Kind::FreezeExecutor
+        | Kind::SuspendExecutor
+        | Kind::FreezeAll
+        | Kind::SuspendAll => freeze(&site, fault, executor).await,
+        Kind::Refused
+        | Kind::RefusedNew
+        | Kind::RefusedSilent
+        | Kind::Silent
+        | Kind::HeldBack
+        | Kind::HeldTowards
+        | Kind::Held
+        | Kind::HeldMany => cut_executor(&site, fault, executor).await,
+        Kind::StoreRefused | Kind::StoreHeld => cut_owner(&site, fault).await,
+        Kind::StoreAway | Kind::StoreExpires => stop_store(&site, fault).await,
+        Kind::Drain | Kind::DrainCut | Kind::Replace | Kind::ReplaceSilent => {
+            shut_down(&site, fault, executor).await?;
         }
-        Kind::FreezeExecutor | Kind::SuspendExecutor => {
-            hits(&executor.id);
-            if kind == Kind::SuspendExecutor {
-                executor.command("stand-still").await;
-                pause(30).await;
+        Kind::KillOwner => {
+            let owner = site.owner().await;
+            note(kind, &owner.name);
+            owner.signal(Signal::SIGKILL);
+            while !owner.has_ended() {
+                pause(5).await;
             }
-            executor.signal(Signal::SIGSTOP);
-            pause(ms).await;
-            executor.signal(Signal::SIGCONT);
+            pause(200 + fault.more / 5).await;
+            owner.restart()?;
         }
-        Kind::FreezeAll | Kind::SuspendAll => {
-            hits("everything");
-            if kind == Kind::SuspendAll {
-                for executor in &executors {
-                    executor.command("stand-still").await;
-                }
-                pause(30).await;
-            }
-            site.signal_all(Signal::SIGSTOP);
-            pause(ms).await;
-            site.signal_all(Signal::SIGCONT);
+        Kind::KillExecutor => {
+            note(kind, &executor.id);
+            site.kill_executor(executor).await;
+            pause(100 + fault.more / 4).await;
+            site.replace_executor(&executor.id, executor)?;
         }
+    }
+    note(kind, "over");
+    Ok(())
+}
+
+/// Stops processes for a while, and the clocks of suspended executors with them.
+async fn freeze(site: &Site, fault: Fault, executor: &Executor) {
+    let Fault { kind, ms, .. } = fault;
+    if kind == Kind::FreezeOwner {
+        let owner = site.owner().await;
+        note(kind, &format!("{} for {ms} ms", owner.name));
+        owner.signal(Signal::SIGSTOP);
+        pause(ms).await;
+        owner.signal(Signal::SIGCONT);
+        return;
+    }
+    let is_all = matches!(kind, Kind::FreezeAll | Kind::SuspendAll);
+    let name = if is_all { "everything" } else { &executor.id };
+    note(kind, &format!("{name} for {ms} ms"));
+    if kind == Kind::SuspendExecutor {
+        executor.command("stand-still").await;
+        pause(30).await;
+    } else if kind == Kind::SuspendAll {
+        for executor in site.executors() {
+            executor.command("stand-still").await;
+        }
+        pause(30).await;
+    }
+    let send = |signal: Signal| {
+        if is_all {
+            site.signal_all(signal);
+        } else {
+            executor.signal(signal);
+        }
+    };
+    send(Signal::SIGSTOP);
+    pause(ms).await;
+    send(Signal::SIGCONT);
+}
+
+/// Impairs the network between gates and an executor.
+async fn cut_executor(site: &Site, fault: Fault, executor: &Executor) {
+    let Fault { kind, ms, .. } = fault;
+    let link = &executor.link;
+    note(kind, &format!("{} for {ms} ms", executor.id));
+    match kind {
         Kind::Refused | Kind::RefusedNew | Kind::RefusedSilent => {
-            hits(&executor.id);
             link.refuse(true);
             match kind {
                 Kind::Refused => link.reset(),
@@ -237,77 +289,63 @@
             pause(ms).await;
             link.refuse(false);
         }
-        Kind::Silent => {
-            note(kind, &executor.id);
-            link.silence(true, more % 2 == 0);
-        }
-        Kind::HeldBack | Kind::HeldTowards | Kind::Held => {
-            hits(&executor.id);
-            hold(kind, link);
-            pause(ms).await;
-            link.set_flow(Flow::Pass, Flow::Pass);
-        }
+        Kind::Silent => link.silence(true, fault.more.is_multiple_of(2)),
         Kind::HeldMany => {
-            hits("all executors");
-            executors.iter().for_each(|it| hold(Kind::Held, &it.link));
-            pause(ms).await;
-            let links = executors.iter().map(|it| &it.link);
-            links.for_each(|it| it.set_flow(Flow::Pass, Flow::Pass));
-        }
-        Kind::StoreRefused | Kind::StoreHeld => {
-            let owner = site.owner().await;
-            hits(&owner.name);
-            if kind == Kind::StoreRefused {
-                owner.store.refuse(true);
-                owner.store.reset();
-            } else {
-                owner.store.set_flow(Flow::Hold, Flow::Hold);
+            let executors = site.executors();
+            for executor in &executors {
+                hold(kind, &executor.link);
             }
             pause(ms).await;
-            owner.store.refuse(false);
-            owner.store.set_flow(Flow::Pass, Flow::Pass);
-        }
-        Kind::StoreAway | Kind::StoreExpires => {
-            hits("store");
-            let is_paused = kind == Kind::StoreAway;
-            let command = if is_paused { "pause" } else { "expire" };
-            site.command_store(command).await;
-            let links = || {
-                let gates = site.gates.iter().map(|gate| &gate.store);
-                gates.chain(executors.iter().map(|it| &it.store))
-            };
-            if more % 3 > 0 {
-                links().for_each(|link| {
-                    link.refuse(true);
-                    link.reset();
-                });
+            for executor in &executors {
+                executor.link.set_flow(Flow::Pass, Flow::Pass);
             }
-            pause(ms).await;
-            site.command_store("back").await;
-            links().for_each(|link| link.refuse(false));
-        }
-        Kind::Drain | Kind::DrainCut | Kind::Replace => {
-            shut_down(&site, fault, executor).await?;
         }
-        Kind::KillOwner => {
-            let owner = site.owner().await;
-            note(kind, &owner.name);
-            owner.signal(Signal::SIGKILL);
-            while !owner.has_ended() {
-                pause(5).await;
-            }
-            pause(200 + more / 5).await;
-            owner.restart()?;
+        _ => {
+            hold(kind, link);
+            pause(ms).await;
+            link.set_flow(Flow::Pass, Flow::Pass);
         }
-        Kind::KillExecutor => {
-            note(kind, &executor.id);
-            site.kill_executor(executor).await;
-            pause(100 + more / 4).await;
-            site.replace_executor(&executor.id, executor)?;
+    }
+}
+
+/// Cuts the owner from the store.
+async fn cut_owner(site: &Site, fault: Fault) {
+    let owner = site.owner().await;
+    note(fault.kind, &format!("{} for {} ms", owner.name, fault.ms));
+    if fault.kind == Kind::StoreRefused {
+        owner.store.refuse(true);
+        owner.store.reset();
+    } else {
+        owner.store.set_flow(Flow::Hold, Flow::Hold);
+    }
+    pause(fault.ms).await;
+    owner.store.refuse(false);
+    owner.store.set_flow(Flow::Pass, Flow::Pass);
+}
+
+/// Takes the store away from all processes.
+async fn stop_store(site: &Site, fault: Fault) {
+    note(fault.kind, &format!("for {} ms", fault.ms));
+    let is_paused = fault.kind == Kind::StoreAway;
+    let command = if is_paused { "pause" } else { "expire" };
+    site.command_store(command).await;
+    let executors = site.executors();
+    let links = || {
+        let gates = site.gates.iter().map(|gate| &gate.store);
+        gates.chain(executors.iter().map(|it| &it.store))
+    };
+    // In the other cases it answers 503.
+    if !fault.more.is_multiple_of(3) {
+        for link in links() {
+            link.refuse(true);
+            link.reset();
         }
     }
-    note(kind, "over");
-    Ok(())
+    pause(fault.ms).await;
+    site.command_store("back").await;
+    for link in links() {
+        link.refuse(false);
+    }
 }
 
 fn hold(kind: Kind, link: &Proxy) {
@@ -340,11 +378,14 @@
             old.link.refuse(false);
             old.store.refuse(false);
         }
-        Kind::Replace => {
+        Kind::Replace | Kind::ReplaceSilent => {
             pause(500 + fault.ms / 4).await;
             let id = next_id();
             note(kind, &format!("{id} listens at the address of {}", old.id));
             new = Some(site.replace_executor(&id, old)?);
+            if kind == Kind::ReplaceSilent {
+                old.link.silence(true, true);
+            }
         }
         _ => {}
     }
