--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -75,6 +75,10 @@
     /// An executor that drains cannot reach the store, and its address refuses connections.
     #[display("drain-cut")]
     DrainCut,
+    /// An executor that drains loses the store and the gates in one cut, in which its address
+    /// refuses new connections and open ones are silent for good.
+    #[display("drain-cut-once")]
+    DrainCutOnce,
     /// An executor shuts down while a new one already listens at its address.
     #[display("replace")]
     Replace,
@@ -90,7 +94,7 @@
 }
 
 /// All kinds.
-const KINDS: [Kind; 23] = [
+const KINDS: [Kind; 24] = [
     Kind::FreezeOwner,
     Kind::FreezeExecutor,
     Kind::FreezeAll,
@@ -110,6 +114,7 @@
     Kind::StoreExpires,
     Kind::Drain,
     Kind::DrainCut,
+    Kind::DrainCutOnce,
     Kind::Replace,
     Kind::ReplaceSilent,
     Kind::KillOwner,
@@ -214,7 +219,7 @@
         | Kind::HeldMany => cut_executor(&site, fault, executor).await,
         Kind::StoreRefused | Kind::StoreHeld => cut_owner(&site, fault).await,
         Kind::StoreAway | Kind::StoreExpires => stop_store(&site, fault).await,
-        Kind::Drain | Kind::DrainCut | Kind::Replace | Kind::ReplaceSilent => {
+        Kind::Drain | Kind::DrainCut | Kind::DrainCutOnce | Kind::Replace | Kind::ReplaceSilent => {
             shut_down(&site, fault, executor).await?;
         }
         Kind::KillOwner => {
@@ -378,6 +383,17 @@
             old.link.refuse(false);
             old.store.refuse(false);
         }
+        Kind::DrainCutOnce => {
+            pause(500).await;
+            note(kind, &format!("{} is cut for {} ms", old.id, fault.ms));
+            for link in [&old.store, &*old.link] {
+                link.refuse(true);
+                link.silence(true, true);
+            }
+            pause(fault.ms).await;
+            old.link.refuse(false);
+            old.store.refuse(false);
+        }
         Kind::Replace | Kind::ReplaceSilent => {
             pause(500 + fault.ms / 4).await;
             let id = next_id();
