--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -30,7 +30,7 @@
     /// An executor is suspended, and its clock stands still.
     #[display("suspend-executor")]
     SuspendExecutor,
-    /// All processes are suspended, and the executors' clocks stand still.
+    /// All processes are suspended, and the clocks of executors and store stand still.
     #[display("suspend-all")]
     SuspendAll,
     /// An executor's address refuses new connections and open ones are reset.
@@ -264,6 +264,7 @@
         for executor in site.executors() {
             executor.command("stand-still").await;
         }
+        site.command_store("pause").await;
         pause(30).await;
     }
     let send = |signal: Signal| {
@@ -275,6 +276,9 @@
     };
     send(Signal::SIGSTOP);
     pause(ms).await;
+    if kind == Kind::SuspendAll {
+        site.command_store("back").await;
+    }
     send(Signal::SIGCONT);
 }
 
