--- a/wigeongate-bench/src/serve_soak.rs
+++ b/wigeongate-bench/src/serve_soak.rs
@@ -48,6 +48,9 @@
     /// How slow the clocks of half of the executors are, in thousandths.
     #[bpaf(fallback(20))]
     slow: u64,
+    /// How many jobs in a hundred are cancelled.
+    #[bpaf(fallback(12))]
+    cancels: u32,
     /// The kinds of faults, separated by commas; without it all but suspensions.
     #[bpaf(fallback(String::new()))]
     only: String,
@@ -132,13 +135,14 @@
     };
     bail!(
         "broken; logs in {}; wigeongate-bench serve-soak --seed {} --seconds {} --gates {} \
-         --executors {} --slow {}{only} --logs FOLDER",
+         --executors {} --slow {} --cancels {}{only} --logs FOLDER",
         folder.display(),
         options.seed,
         options.seconds,
         options.gates,
         options.executors,
         options.slow,
+        options.cancels,
     )
 }
 
@@ -165,6 +169,7 @@
         Arc::clone(&site),
         Arc::clone(&jobs),
         options.seed,
+        options.cancels,
         until,
     ));
     let mut running = tokio::task::JoinSet::new();
--- a/wigeongate-bench/src/serve_soak/executor.rs
+++ b/wigeongate-bench/src/serve_soak/executor.rs
@@ -80,6 +80,8 @@
     /// The highest run of each task that was stopped or has ended.
     closed: HashMap<String, u64>,
     draining: Option<u64>,
+    /// Whether it ends its registration before it exits.
+    deregisters: bool,
     /// How long the steady clock has stood still, in milliseconds.
     stood_still: u64,
     /// Whether the clock stands still during the next suspension.
@@ -97,7 +99,8 @@
     changed: Notify,
 }
 
-/// Runs until the standard input ends, which carries the commands `drain MS` and `stand-still`.
+/// Runs until the standard input ends, which carries the commands `drain MS`, `deregister`
+/// and `stand-still`.
 pub fn run(options: &ExecutorOptions) -> Result<()> {
     let lines = Lines::open(&options.lines)?;
     tokio::runtime::Builder::new_current_thread()
@@ -133,6 +136,7 @@
                     Some(("drain", more)) => {
                         executor.state().draining = Some(more.parse()?);
                     }
+                    _ if command == "deregister" => executor.state().deregisters = true,
                     _ => executor.state().stands_still = true,
                 }
             }
@@ -368,6 +372,13 @@
         let mut exit = None;
         loop {
             let draining = self.state().draining;
+            if self.state().deregisters {
+                if exit.is_some_and(|exit| exit <= Instant::now()) {
+                    self.exit(lease).await;
+                }
+                sleep(Duration::from_millis(50)).await;
+                continue;
+            }
             let entry = self.entry(draining.is_some());
             let kept = lease > 0
                 && self
@@ -393,7 +404,15 @@
                 if exit.is_some_and(|exit| exit <= Instant::now()) {
                     self.exit(lease).await;
                 }
-                if self.state().draining.is_some() && draining.is_none() {
+                let (drains, deregisters) = {
+                    let state = self.state();
+                    (state.draining.is_some(), state.deregisters)
+                };
+                if deregisters && lease > 0 {
+                    self.end_registration(lease).await;
+                    lease = 0;
+                }
+                if drains && draining.is_none() {
                     break;
                 }
                 sleep(Duration::from_millis(50)).await;
@@ -406,9 +425,13 @@
             let state = self.state();
             self.lines.add(&self.line(&state, What::Exit, steady_ms()));
         }
+        self.end_registration(lease).await;
+        std::process::exit(0);
+    }
+
+    async fn end_registration(&self, lease: u64) {
         let path = format!("/api/kv-lease-end/{lease}");
         let _ = self.call("DELETE", &path, &json!({})).await;
-        std::process::exit(0);
     }
 
     async fn call(&self, method: &str, path: &str, body: &Value) -> Option<Reply> {
--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -79,6 +79,10 @@
     /// refuses new connections and open ones are silent for good.
     #[display("drain-cut-once")]
     DrainCutOnce,
+    /// An executor that shuts down ends its registration and refuses new connections, and goes on
+    /// with open ones until it exits.
+    #[display("leave-slowly")]
+    LeaveSlowly,
     /// An executor shuts down while a new one already listens at its address.
     #[display("replace")]
     Replace,
@@ -94,7 +98,7 @@
 }
 
 /// All kinds.
-const KINDS: [Kind; 24] = [
+const KINDS: [Kind; 25] = [
     Kind::FreezeOwner,
     Kind::FreezeExecutor,
     Kind::FreezeAll,
@@ -115,6 +119,7 @@
     Kind::Drain,
     Kind::DrainCut,
     Kind::DrainCutOnce,
+    Kind::LeaveSlowly,
     Kind::Replace,
     Kind::ReplaceSilent,
     Kind::KillOwner,
@@ -219,7 +224,12 @@
         | Kind::HeldMany => cut_executor(&site, fault, executor).await,
         Kind::StoreRefused | Kind::StoreHeld => cut_owner(&site, fault).await,
         Kind::StoreAway | Kind::StoreExpires => stop_store(&site, fault).await,
-        Kind::Drain | Kind::DrainCut | Kind::DrainCutOnce | Kind::Replace | Kind::ReplaceSilent => {
+        Kind::Drain
+        | Kind::DrainCut
+        | Kind::DrainCutOnce
+        | Kind::LeaveSlowly
+        | Kind::Replace
+        | Kind::ReplaceSilent => {
             shut_down(&site, fault, executor).await?;
         }
         Kind::KillOwner => {
@@ -398,6 +408,12 @@
             old.link.refuse(false);
             old.store.refuse(false);
         }
+        Kind::LeaveSlowly => {
+            pause(2_000).await;
+            note(kind, &format!("{} ends its registration", old.id));
+            old.link.refuse(true);
+            old.command("deregister").await;
+        }
         Kind::Replace | Kind::ReplaceSilent => {
             pause(500 + fault.ms / 4).await;
             let id = next_id();
--- a/wigeongate-bench/src/serve_soak/work.rs
+++ b/wigeongate-bench/src/serve_soak/work.rs
@@ -41,7 +41,7 @@
 }
 
 /// Submits jobs until the given time.
-pub async fn submit(site: Arc<Site>, jobs: Arc<Jobs>, seed: u64, until: Instant) {
+pub async fn submit(site: Arc<Site>, jobs: Arc<Jobs>, seed: u64, cancels: u32, until: Instant) {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x9e37_79b9);
     let mut number = 0_u64;
     let mut callers = tokio::task::JoinSet::new();
@@ -60,7 +60,7 @@
         }
         let longest = if rng.random_bool(0.5) { 14_000 } else { 4_000 };
         let body = json!({ "spec": format!("500 {longest}"), "steps": steps });
-        let cancel = rng.random_bool(0.12);
+        let cancel = rng.random_bool(f64::from(cancels) / 100.0);
         let cancel_ms = cancel.then(|| rng.random_range(500..8_000));
         let (site, jobs) = (Arc::clone(&site), Arc::clone(&jobs));
         callers.spawn(async move { call(&site, &jobs, &id, &body, cancel_ms, number).await });
