--- a/wigeongate-bench/src/serve_soak/executor.rs
+++ b/wigeongate-bench/src/serve_soak/executor.rs
@@ -373,6 +373,8 @@
         loop {
             let draining = self.state().draining;
             if self.state().deregisters {
+                let more = draining.unwrap_or(0);
+                exit = exit.or_else(|| Some(Instant::now() + Duration::from_millis(more)));
                 if exit.is_some_and(|exit| exit <= Instant::now()) {
                     self.exit(lease).await;
                 }
--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -9,7 +9,7 @@
 use nix::sys::signal::Signal;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::lines::unix_ms;
 use super::proxy::{Flow, Proxy};
@@ -399,6 +399,10 @@
         }
         Kind::DrainCutOnce => {
             pause(500).await;
+            // The cut begins shortly before a heartbeat, so that the registration ends early in it.
+            let beat = old.store.next_connection();
+            let _ = timeout(Duration::from_secs(3), beat).await;
+            pause(1_400).await;
             note(kind, &format!("{} is cut for {} ms", old.id, fault.ms));
             for link in [&old.store, &*old.link] {
                 link.refuse(true);
--- a/wigeongate-bench/src/serve_soak/proxy.rs
+++ b/wigeongate-bench/src/serve_soak/proxy.rs
@@ -92,6 +92,14 @@
         self.change(|link| link.reset = link.next);
     }
 
+    /// Waits for the next connection.
+    pub async fn next_connection(&self) {
+        let mut link = self.link.subscribe();
+        let next = link.borrow().next;
+        // Fails only after the proxy has ended.
+        let _ = link.wait_for(|link| link.next > next).await;
+    }
+
     /// Makes all open connections silent for good, in the directions given.
     pub fn silence(&self, towards: bool, back: bool) {
         self.change(|link| {
--- a/wigeongate-bench/src/serve_soak/site.rs
+++ b/wigeongate-bench/src/serve_soak/site.rs
@@ -236,7 +236,7 @@
         let store = Proxy::start(self.net.next(), self.store_address);
         let text = format!(
             "gate: {name}\nzone: a\ncallers: {}\nready: {}\npeer: {}\nmetrics: {}\nstore: {}\n\
-             bounds:\n  task_lease_ms: {}\n  grace_s: 6\n",
+             bounds:\n  task_lease_ms: {}\n  grace_s: 6\n  shown_s: 600\n",
             at(0),
             at(1),
             at(2),
--- a/wigeongate-bench/src/serve_soak/store.rs
+++ b/wigeongate-bench/src/serve_soak/store.rs
@@ -259,7 +259,9 @@
     }
 
     fn end_lease(&mut self, id: u64) {
-        self.leases.remove(&id);
+        if self.leases.remove(&id).is_none() {
+            return;
+        }
         let keys = self.items.iter().filter(|(_, item)| item.lease == id);
         let keys: Vec<String> = keys.map(|(key, _)| key.clone()).collect();
         if !keys.is_empty() {
