--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -76,7 +76,7 @@
     #[display("drain-cut")]
     DrainCut,
     /// An executor that drains loses the store and the gates in one cut, in which its address
-    /// refuses new connections and open ones are silent for good.
+    /// refuses new connections; open ones are silent and reset 2.6 s later.
     #[display("drain-cut-once")]
     DrainCutOnce,
     /// An executor that shuts down ends its registration and refuses new connections, and goes on
@@ -408,6 +408,8 @@
                 link.refuse(true);
                 link.silence(true, true);
             }
+            pause(2_600).await;
+            old.link.reset();
             pause(fault.ms).await;
             old.link.refuse(false);
             old.store.refuse(false);
