--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -129,7 +129,7 @@
     pub reported: Millis,
     /// When the first poll since then failed.
     pub failed: Option<Millis>,
-    /// When the host's address first refused a connection since then.
+    /// When its address first refused a connection or answered for another executor since then.
     pub refused: Option<Millis>,
     /// When it was seen that the registry no longer lists the host.
     pub unlisted: Option<Millis>,
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -35,7 +35,8 @@
 pub struct Failing {
     /// When the first poll failed.
     pub since: Millis,
-    /// When it was seen that the host's process has ended, as its address refuses connections.
+    /// When its address first refused a connection or answered for another executor, which suggests that
+    /// the process has ended.
     pub ended: Option<Millis>,
     /// Whether a poll that the host may have held got no answer. A process that gives up its address
     /// goes on with its open connections and answers what it holds.
@@ -79,7 +80,7 @@
         self.lose_runs(id, runs, Proof::Replaced, now, out);
     }
 
-    /// Judges the losses of hosts whose processes have ended a moment ago.
+    /// Judges the losses of hosts whose processes seem to have ended a moment ago.
     pub(super) fn judge_losses(&mut self, now: Millis, out: &mut Vec<Action>) {
         let ended = |host: &&Host| {
             host.blame.is_none()
--- a/wigeongate/src/entry/contact_ages.rs
+++ b/wigeongate/src/entry/contact_ages.rs
@@ -32,7 +32,7 @@
         }
         let events = [
             ("polls fail", contact.failed),
-            ("connections are refused", contact.refused),
+            ("refused or replaced", contact.refused),
             ("unlisted", contact.unlisted),
         ];
         for (what, since) in events {
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -46,6 +46,10 @@
 /// keeps these ends.
 const LOG_WRITE_TIMEOUT_MS: u64 = 400;
 
+/// The time after which a poll counts as held by the executor, in milliseconds; a connection that was
+/// closed before breaks sooner.
+const HELD_MS: u64 = 50;
+
 #[derive(Debug)]
 struct LinkState {
     id: HostId,
@@ -72,10 +76,6 @@
     _stop: DropGuard,
 }
 
-/// The time after which a poll counts as held by the executor, in milliseconds; a connection that was
-/// closed before breaks sooner.
-const HELD_MS: u64 = 50;
-
 /// Returns what a poll that failed after a time says of the executor, `None` if it answered.
 fn failure_of(error: &PollError, took: Millis) -> Option<PollFailure> {
     match error {
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -214,8 +214,8 @@
 }
 
 /// Returns whether the owner's address refuses connections, three times in a row. Its process has
-/// ended then; a host that is cut off would not answer at all. A wrong conclusion costs no more
-/// than a takeover, since the old owner's orders and writes are refused.
+/// probably ended then; a cut may refuse connections as well. A wrong conclusion costs no more than a
+/// takeover, since the old owner's orders and writes are refused.
 async fn is_refusing(shared: &Shared, address: &str) -> bool {
     for _ in 0..REFUSED_PROBES {
         let probe = PeerCall::State(WorkflowId::default());
