--- a/wigeongate-core/tests/release_proofs/main.rs
+++ b/wigeongate-core/tests/release_proofs/main.rs
@@ -117,7 +117,7 @@
 }
 
 #[test]
-#[ignore = "issue 44"]
+#[ignore = "KNOWN-RED: handovers beside cuts (issue 45)"]
 fn a_process_that_closes_its_listener_keeps_its_runs() {
     check(HANDOVERS, 0..250);
 }
