Log each step of a restart

Cause: of a takeover only two times were logged, and nothing of one whose ownership was lost before the state was restored: neither the step that it was in nor what that had handled. Change: no change of what is decided. Owner::load moves to entry/restore.rs, in steps: read, decode, restore jobs, replay, finish. RestoreProgress has the times and sizes of the steps, also of the pages read so far; they are in the line "owner: state restored from the store.", in a new one for takeovers that were lost before, and in gauges. The first start of an owner is logged with the time since the takeover, the restore and the last answer of a listed host. wigeongate_takeovers counts takeovers by outcome. The errors of reads name the step and the pages before. ownership.rs claims the ownership in a function of its own.

--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -26,6 +26,8 @@
 pub mod records;
 mod refusals;
 mod registry;
+mod restore;
+mod restore_progress;
 mod run_times;
 mod share_report;
 mod shared;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -15,7 +15,6 @@
     Action, AdviceGates, HostContact, HostEntry, HostReport, Intake, Proof, Record, StartOrder,
     StoredJob, Submission, TaskName, WorkflowScheduler, WorkflowSettings,
 };
-use wigeongate_platform::store::Item;
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::callers::job_age;
@@ -27,9 +26,10 @@
 use super::owner_event::{OwnerEvent, OwnerHandle};
 use super::ownership::Permits;
 use super::peers::{self, PeerAnswer, PeerCall};
-use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode, is_cancelled};
 use super::registry;
-use super::run_times::{self, RunTimesWriter};
+use super::restore::Restore;
+use super::restore_progress::RestoreProgress;
+use super::run_times::RunTimesWriter;
 use super::share_report::ShareReport;
 use super::shared::Shared;
 use super::speeds;
@@ -47,10 +47,6 @@
 /// of a third of all gates.
 const YIELD_CANDIDATES: usize = 3;
 
-/// The least share of a core with which jobs and log are read at a time. The links of smaller hosts are
-/// narrow as well: two pages at a time gain nothing there, and each may take longer than its timeout.
-const MIN_PARALLEL_CORES: f64 = 0.25;
-
 /// The state of the owner during one epoch.
 #[derive(Debug)]
 pub struct Owner {
@@ -79,8 +75,12 @@
     is_stale: bool,
     /// Whether another gate has become the owner; ends the loop.
     fenced: bool,
-    /// Whether every listed host has answered at least once.
-    hosts_known: bool,
+    /// How far the restore has come.
+    progress: Arc<RestoreProgress>,
+    /// When every listed host had answered at least once; `None` before.
+    hosts_known: Option<Millis>,
+    /// Whether a start was ordered.
+    has_started: bool,
     /// The earliest time of the next placement pass.
     next_pass: Instant,
     /// When each run was ordered to start.
@@ -99,6 +99,7 @@
         epoch: u64,
         revision: u64,
         permits: &Permits,
+        progress: Arc<RestoreProgress>,
     ) -> (Self, mpsc::UnboundedReceiver<OwnerEvent>) {
         let (events, receiver) = mpsc::unbounded_channel();
         let now = shared.now();
@@ -138,7 +139,9 @@
             registry_read: Millis::ZERO,
             is_stale: true,
             fenced: false,
-            hosts_known: false,
+            progress,
+            hosts_known: None,
+            has_started: false,
             next_pass: Instant::now(),
             start_times: HashMap::default(),
             waits: WaitReport::default(),
@@ -157,7 +160,7 @@
     ///
     /// Fails if the store cannot be read.
     pub async fn run(mut self, mut receiver: mpsc::UnboundedReceiver<OwnerEvent>) -> Result<()> {
-        let revision = self.load().await?;
+        let revision = self.restore().await?;
         tokio::spawn(registry::follow(
             Arc::clone(&self.shared),
             self.events.clone(),
@@ -282,80 +285,35 @@
         }
     }
 
-    /// Reads the accepted jobs, with the revision up to which they are complete, and the log. Nobody
-    /// else removes jobs or writes the log any more: both require the earlier owner key.
-    async fn read_store(&self) -> Result<((Vec<Item>, u64), Vec<Item>)> {
-        let store = &self.shared.store;
-        let (jobs, log) = (store.range(JOBS_PREFIX), store.range(LOG_PREFIX));
-        if self.shared.settings.processors() < MIN_PARALLEL_CORES {
-            return Ok((jobs.await?, log.await?.0));
-        }
-        let (jobs, log) = tokio::try_join!(jobs, log)?;
-        Ok((jobs, log.0))
-    }
-
-    /// Reads the accepted jobs and the log from the store and replays them; returns the revision up
-    /// to which the jobs are complete.
-    async fn load(&mut self) -> Result<u64> {
-        let started = self.shared.now();
+    /// Restores the state of earlier owners; returns the revision up to which the jobs are complete.
+    async fn restore(&mut self) -> Result<u64> {
         self.configure();
-        let run_times = self.shared.settings.policies().run_times;
-        let run_times = run_times.then(|| tokio::spawn(run_times::read(Arc::clone(&self.shared))));
-        let ((items, revision), batches) = self.read_store().await?;
-        let read_ms = self.shared.now().since(started).0;
-        if let Some(run_times) = run_times {
-            self.scheduler
-                .set_run_times(run_times.await.unwrap_or_default());
-        }
-        let now = self.shared.now();
-        self.scheduler.tick(now, wall_ms(), &mut Vec::new());
-        let mut jobs = job_watch::decode_jobs(&items);
-        let mut is_readable = jobs.len() == items.iter().filter(|item| !is_cancelled(item)).count();
-        // Jobs count against a team's limits in the order in which they were accepted.
-        jobs.sort_by_key(|job| job.flow.accepted);
-        for job in jobs {
-            let age = job_age(job.flow.accepted);
-            self.scheduler.restore(job.flow, now, age);
-        }
-        self.intake = Intake::new(revision);
-        for item in &batches {
-            match decode::<LogBatch>(&item.key, &item.value) {
-                Ok(batch) => {
-                    self.scheduler.begin_batch();
-                    for record in &batch.records {
-                        self.scheduler.replay(record, now);
-                    }
-                    self.log.add_batch(&item.key, batch.records);
-                }
-                Err(error) => {
-                    is_readable = false;
-                    warn!(
-                        error = format!("{error:#}"),
-                        "owner: a log batch cannot be decoded; it is skipped."
-                    );
-                }
-            }
-        }
-        if !is_readable {
-            self.log.disable_compaction();
-        }
-        let mut actions = Vec::new();
-        self.scheduler.finish_restore(now, &mut actions);
-        for action in actions {
+        let restore = Restore {
+            shared: &self.shared,
+            progress: &self.progress,
+            scheduler: &mut self.scheduler,
+            log: &mut self.log,
+        };
+        let restored = restore.run().await?;
+        self.intake = Intake::new(restored.revision);
+        for action in restored.actions {
             self.execute(action);
         }
-        let took_ms = self.shared.now().since(started).0;
-        self.shared.metrics.set_gauge("restore_ms", took_ms);
+        let took_ms = self.shared.now().since(self.began).0;
+        let metrics = &self.shared.metrics;
+        metrics.set_gauge("restore_ms", took_ms);
+        metrics.count("takeovers", "restored");
+        self.progress.report(metrics);
         info!(
             epoch = self.epoch,
-            jobs = items.len(),
+            jobs = restored.jobs,
             open = self.scheduler.open_jobs(),
-            batches = batches.len(),
-            read_ms,
+            batches = restored.batches,
             took_ms,
+            steps = %self.progress,
             "owner: state restored from the store."
         );
-        Ok(revision)
+        Ok(restored.revision)
     }
 
     fn handle_event(&mut self, event: OwnerEvent, actions: &mut Vec<Action>) {
@@ -369,8 +327,8 @@
             OwnerEvent::HostReported(host, report) => {
                 self.log_ended_runs(&host, &report);
                 self.scheduler.apply_report(&host, &report, now, actions);
-                if !self.hosts_known && self.scheduler.unknown_hosts() == 0 {
-                    self.hosts_known = true;
+                if self.hosts_known.is_none() && self.scheduler.unknown_hosts() == 0 {
+                    self.hosts_known = Some(now);
                     info!(epoch = self.epoch, "owner: every listed host has answered.");
                 }
             }
@@ -457,7 +415,7 @@
             }
             // Without the hosts' answers or the right to order starts, the forecast would be wrong.
             PeerCall::Outlook(gate, offered)
-                if self.hosts_known && self.orders_allowed.load(Ordering::Relaxed) =>
+                if self.hosts_known.is_some() && self.orders_allowed.load(Ordering::Relaxed) =>
             {
                 self.forecasts.answer(&gate, &offered, &self.shared)
             }
@@ -626,6 +584,16 @@
             epoch = self.epoch, registry_age_ms = self.registry_age().0,
             cpu = capacity.cpu, used_cpu = used.cpu, "owner: ordering a start.");
         let now = self.shared.now();
+        if !std::mem::replace(&mut self.has_started, true) {
+            let since = |time: Option<Millis>| time.map(|time| now.since(time).0);
+            info!(
+                epoch = self.epoch,
+                owned_ms = now.since(self.began).0,
+                restored_ms = since(self.progress.restored()),
+                hosts_known_ms = since(self.hosts_known),
+                "owner: the first start of this owner is ordered."
+            );
+        }
         self.forecasts
             .record_start(&self.scheduler, order.task.step, now);
         self.start_times.insert((order.task, order.run), now);
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -17,6 +17,7 @@
 use super::owner::Owner;
 use super::peers::{self, PeerCall};
 use super::records::{EPOCH_KEY, OWNER_KEY, OwnerRecord, decode, encode};
+use super::restore_progress::RestoreProgress;
 use super::shared::Shared;
 
 /// The time to live of the ownership's lease, in milliseconds. Nothing is placed for that long
@@ -251,15 +252,19 @@
     Ok(())
 }
 
-/// Tries to become the owner and runs until the ownership is lost; returns whether this gate was
-/// the owner. `earlier` is the owner before, if this gate knew it.
-async fn take_over(
-    shared: &Arc<Shared>,
-    advice_client: &Arc<AdviceClient>,
-    process: u64,
-    earlier: Option<&OwnerRecord>,
-    release: &Notify,
-) -> Result<bool> {
+/// An ownership that this gate has.
+struct Ownership {
+    record: OwnerRecord,
+    /// The revision of the owner key.
+    revision: u64,
+    /// The lease of the owner key.
+    lease: u64,
+    /// When the call that granted it was sent.
+    sent: Millis,
+}
+
+/// Tries to become the owner; returns `None` if another gate came first.
+async fn claim_ownership(shared: &Shared, process: u64) -> Result<Option<Ownership>> {
     let item = shared.store.get(EPOCH_KEY).await?;
     let (last, epoch_revision): (u64, u64) = match &item {
         Some(item) => (decode(EPOCH_KEY, &item.value)?, item.revision),
@@ -288,41 +293,68 @@
         ],
         removes: Vec::new(),
     };
-    let revision = match shared.store.commit(&txn).await {
-        Ok(TxnOutcome::Done(revision)) => revision,
-        Ok(TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded) => return Ok(false),
+    match shared.store.commit(&txn).await {
+        Ok(TxnOutcome::Done(revision)) => Ok(Some(Ownership {
+            record,
+            revision,
+            lease,
+            sent,
+        })),
+        Ok(TxnOutcome::Conflict(_) | TxnOutcome::LeaseEnded) => Ok(None),
         // The next read shows whether the write took effect; the lease ends unless it is renewed.
         Err(error) => bail!("taking over the ownership: {error}"),
+    }
+}
+
+/// Tries to become the owner and runs until the ownership is lost; returns whether this gate was
+/// the owner. `earlier` is the owner before, if this gate knew it.
+async fn take_over(
+    shared: &Arc<Shared>,
+    advice_client: &Arc<AdviceClient>,
+    process: u64,
+    earlier: Option<&OwnerRecord>,
+    release: &Notify,
+) -> Result<bool> {
+    let Some(ownership) = claim_ownership(shared, process).await? else {
+        return Ok(false);
     };
-    shared.owner.send_replace(Some(record.clone()));
+    let (epoch, lease) = (ownership.record.epoch, ownership.lease);
+    shared.owner.send_replace(Some(ownership.record.clone()));
     let task_lease = Millis(shared.settings.bounds.task_lease_ms);
-    let permits = Permits::new(task_lease, sent);
+    let permits = Permits::new(task_lease, ownership.sent);
     info!(
-        epoch = record.epoch,
-        revision,
-        earlier_epoch = last,
+        epoch,
+        revision = ownership.revision,
+        earlier_epoch = epoch - 1,
         earlier = earlier.map(|owner| owner.gate.as_str()),
         silent_runs_ms = permits.tenure.inherited_lease().0,
         "ownership: this gate is the owner now."
     );
+    let progress = Arc::new(RestoreProgress::default());
     let (owner, events) = Owner::new(
         Arc::clone(shared),
         Arc::clone(advice_client),
-        record.epoch,
-        revision,
+        epoch,
+        ownership.revision,
         &permits,
+        Arc::clone(&progress),
     );
     shared.set_local_owner(Some(owner.handle()));
-    let result = tokio::select! {
-        result = owner.run(events) => result,
-        () = renew(shared, lease, record.epoch, sent, &permits) => Ok(()),
-        () = release.notified() => Ok(()),
+    let (result, cause) = tokio::select! {
+        result = owner.run(events) => (result, "the store could not be read"),
+        () = renew(shared, &ownership, &permits) => (Ok(()), "the lease has ended"),
+        () = release.notified() => (Ok(()), "the gate stops"),
     };
     permits.orders_allowed.store(false, Ordering::Relaxed);
     shared.set_local_owner(None);
     shared.owner.send_replace(None);
+    if progress.restored().is_none() {
+        let error = result.as_ref().err().map(|error| format!("{error:#}"));
+        let cause = error.as_deref().unwrap_or(cause);
+        report_lost(shared, &ownership, &progress, cause);
+    }
     info!(
-        epoch = record.epoch,
+        epoch,
         unrenewed_ms = permits.unrenewed(shared.now()).0,
         last_grant_ms = permits.grant_left(shared.now()).0,
         "ownership: this gate is no longer the owner."
@@ -333,9 +365,24 @@
     result.map(|()| true)
 }
 
+/// Logs and counts a takeover that was lost before the state was restored.
+fn report_lost(shared: &Shared, ownership: &Ownership, progress: &RestoreProgress, cause: &str) {
+    let step = progress.current();
+    shared.metrics.count("takeovers", &step.to_string());
+    warn!(
+        epoch = ownership.record.epoch,
+        %step,
+        cause,
+        owned_ms = shared.now().since(ownership.sent).0,
+        steps = %progress,
+        "ownership: lost before the state was restored."
+    );
+}
+
 /// Renews the lease until it has ended or the store has not confirmed it for too long.
-async fn renew(shared: &Shared, lease: u64, epoch: u64, sent: Millis, permits: &Permits) {
-    let mut last_confirmed = sent;
+async fn renew(shared: &Shared, ownership: &Ownership, permits: &Permits) {
+    let (lease, epoch) = (ownership.lease, ownership.record.epoch);
+    let mut last_confirmed = ownership.sent;
     let mut is_confirmed = true;
     loop {
         sleep(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
--- /dev/null
+++ b/wigeongate/src/entry/restore.rs
@@ -0,0 +1,212 @@
+//! Restores the state of earlier owners from the store when a gate has become the owner.
+
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use tracing::warn;
+use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::{Action, Record, StoredJob, WorkflowScheduler};
+use wigeongate_platform::store::Item;
+
+use super::callers::job_age;
+use super::job_watch;
+use super::log::Log;
+use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode, is_cancelled};
+use super::restore_progress::{RestoreProgress, RestoreStep, StepSize};
+use super::run_times;
+use super::shared::Shared;
+use crate::clock::wall_ms;
+
+/// The least share of a core with which jobs and log are read at a time. The links of smaller hosts are
+/// narrow as well: two pages at a time gain nothing there, and each may take longer than its timeout.
+const MIN_PARALLEL_CORES: f64 = 0.25;
+
+/// A restore, with the parts of the new owner that it fills.
+#[derive(Debug)]
+pub struct Restore<'a> {
+    /// The state that the parts of the gate share.
+    pub shared: &'a Arc<Shared>,
+    /// The progress of the restore.
+    pub progress: &'a RestoreProgress,
+    /// The scheduler, which has the configuration already.
+    pub scheduler: &'a mut WorkflowScheduler,
+    /// The log of the new epoch.
+    pub log: &'a mut Log,
+}
+
+/// What a restore has brought.
+#[derive(Debug)]
+pub struct Restored {
+    /// The revision up to which the jobs are complete.
+    pub revision: u64,
+    /// The number of stored jobs.
+    pub jobs: usize,
+    /// The number of stored batches of the log.
+    pub batches: usize,
+    /// What the scheduler has decided on.
+    pub actions: Vec<Action>,
+}
+
+/// What earlier owners have left in the store, as read.
+#[derive(Debug)]
+struct StoredItems {
+    jobs: Vec<Item>,
+    /// The revision up to which the jobs are complete.
+    revision: u64,
+    batches: Vec<Item>,
+}
+
+/// What earlier owners have left in the store.
+#[derive(Debug)]
+struct StoredState {
+    /// In the order in which they were accepted.
+    jobs: Vec<StoredJob>,
+    /// The records of each batch with its key, in the order in which they were written.
+    batches: Vec<(String, Vec<Record>)>,
+    /// Whether everything could be decoded.
+    is_readable: bool,
+}
+
+impl Restore<'_> {
+    /// Reads the accepted jobs and the log from the store and replays them.
+    ///
+    /// Fails if the store cannot be read; the error names the step.
+    pub async fn run(mut self) -> Result<Restored> {
+        let items = self.read().await?;
+        let (revision, jobs, batches) = (items.revision, items.jobs.len(), items.batches.len());
+        let state = self.decode(&items);
+        drop(items);
+        let now = self.shared.now();
+        self.scheduler.tick(now, wall_ms(), &mut Vec::new());
+        self.restore_jobs(state.jobs, now);
+        self.replay(state.batches, now);
+        if !state.is_readable {
+            self.log.disable_compaction();
+        }
+        let mut actions = Vec::new();
+        self.begin(RestoreStep::Finish);
+        self.scheduler.finish_restore(now, &mut actions);
+        self.end(RestoreStep::Finish, StepSize::items(jobs));
+        self.progress.finish(self.shared.now());
+        Ok(Restored {
+            revision,
+            jobs,
+            batches,
+            actions,
+        })
+    }
+
+    fn begin(&self, step: RestoreStep) {
+        self.progress.begin(step, self.shared.now());
+    }
+
+    fn end(&self, step: RestoreStep, size: StepSize) {
+        self.progress.add(step, size);
+        self.progress.end(step, self.shared.now());
+    }
+
+    /// Reads the accepted jobs, the log and the run times.
+    ///
+    /// Nobody else removes jobs or writes the log any more: both require the earlier owner key.
+    async fn read(&mut self) -> Result<StoredItems> {
+        let run_times = self.shared.settings.policies().run_times.then(|| {
+            self.begin(RestoreStep::ReadRunTimes);
+            tokio::spawn(run_times::read(Arc::clone(self.shared)))
+        });
+        let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX);
+        let batches = self.read_prefix(RestoreStep::ReadLog, LOG_PREFIX);
+        let ((jobs, revision), (batches, _)) =
+            if self.shared.settings.processors() < MIN_PARALLEL_CORES {
+                (jobs.await?, batches.await?)
+            } else {
+                tokio::try_join!(jobs, batches)?
+            };
+        if let Some(run_times) = run_times {
+            self.scheduler
+                .set_run_times(run_times.await.unwrap_or_default());
+            self.end(RestoreStep::ReadRunTimes, StepSize::default());
+        }
+        Ok(StoredItems {
+            jobs,
+            revision,
+            batches,
+        })
+    }
+
+    /// Reads all keys with a prefix as one step; returns them with the revision of the first page.
+    async fn read_prefix(&self, step: RestoreStep, prefix: &str) -> Result<(Vec<Item>, u64)> {
+        self.begin(step);
+        let (mut pages, mut items) = (0, 0);
+        let on_page = |page_items, bytes| {
+            pages += 1;
+            items += page_items;
+            let size = StepSize {
+                items: page_items,
+                bytes,
+                pages: 1,
+            };
+            self.progress.add(step, size);
+        };
+        let read = self.shared.store.range_pages(prefix, on_page).await;
+        let read =
+            read.wrap_err_with(|| format!("{step}, after {items} items in {pages} pages"))?;
+        self.end(step, StepSize::default());
+        Ok(read)
+    }
+
+    /// Decodes what was read; what cannot be decoded is skipped.
+    fn decode(&self, items: &StoredItems) -> StoredState {
+        self.begin(RestoreStep::Decode);
+        let mut jobs = job_watch::decode_jobs(&items.jobs);
+        let stored = items.jobs.iter().filter(|item| !is_cancelled(item));
+        let mut is_readable = jobs.len() == stored.count();
+        // Jobs count against a team's limits in the order in which they were accepted.
+        jobs.sort_by_key(|job| job.flow.accepted);
+        let mut batches = Vec::with_capacity(items.batches.len());
+        for item in &items.batches {
+            match decode::<LogBatch>(&item.key, &item.value) {
+                Ok(batch) => batches.push((item.key.clone(), batch.records)),
+                Err(error) => {
+                    is_readable = false;
+                    warn!(
+                        error = format!("{error:#}"),
+                        "owner: a log batch cannot be decoded; it is skipped."
+                    );
+                }
+            }
+        }
+        let size = StepSize::items(items.jobs.len() + items.batches.len());
+        self.end(RestoreStep::Decode, size);
+        StoredState {
+            jobs,
+            batches,
+            is_readable,
+        }
+    }
+
+    /// Adds the accepted jobs to the scheduler.
+    fn restore_jobs(&mut self, jobs: Vec<StoredJob>, now: Millis) {
+        self.begin(RestoreStep::RestoreJobs);
+        let size = StepSize::items(jobs.len());
+        for job in jobs {
+            let age = job_age(job.flow.accepted);
+            self.scheduler.restore(job.flow, now, age);
+        }
+        self.end(RestoreStep::RestoreJobs, size);
+    }
+
+    /// Replays the records of the log.
+    fn replay(&mut self, batches: Vec<(String, Vec<Record>)>, now: Millis) {
+        self.begin(RestoreStep::Replay);
+        let mut size = StepSize::default();
+        for (key, records) in batches {
+            self.scheduler.begin_batch();
+            for record in &records {
+                self.scheduler.replay(record, now);
+            }
+            size.items += records.len();
+            self.log.add_batch(&key, records);
+        }
+        self.end(RestoreStep::Replay, size);
+    }
+}
