Test that service returns after all gates were lost over a large store

Nothing played that with real gates. The stand-in holds, in the stored form, jobs that ended a moment ago, 24 open jobs and the log; three gates start, each held to 0.12 of a core; within the platform's recover_s (12 s) an open job starts, and a new job is accepted and starts. slow_process.rs holds a process to a share of a core as a limit on processor time does: it is stopped once it has used its 6 ms of each 50 ms, by its own processor clock, so that other load on the machine makes the share no smaller. The stand-in's ranges and watches no longer look at all keys and all of their history. No product code.

--- a/wigeongate/tests/entry/gate.rs
+++ b/wigeongate/tests/entry/gate.rs
@@ -90,6 +90,13 @@
     }
 
     pub async fn start_with(store: SocketAddr, name: &str, bounds: &GateBounds) -> Self {
+        let gate = Self::spawn(store, name, bounds);
+        gate.wait_ready().await;
+        gate
+    }
+
+    /// Starts a gate, which is not ready yet.
+    pub fn spawn(store: SocketAddr, name: &str, bounds: &GateBounds) -> Self {
         let (callers, ready) = (free_address(), free_address());
         let (peer, metrics) = (free_address(), free_address());
         let text = format!(
@@ -107,16 +114,14 @@
             .stdout(gate_output(&format!("{name}-{}.log", callers.port())))
             .spawn()
             .expect("the gate starts");
-        let gate = Self {
+        Self {
             process,
             callers,
             ready,
             peer,
             metrics,
             settings,
-        };
-        gate.wait_ready().await;
-        gate
+        }
     }
 
     pub async fn wait_ready(&self) {
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod full_fleet;
 #[expect(dead_code, reason = "other tests use more of it")]
 mod gate;
+mod large_store;
 mod limits;
 mod outages;
 mod platform;
@@ -14,6 +15,7 @@
 mod retention;
 mod routes;
 mod run_times;
+mod slow_process;
 mod stored_records;
 
 use std::sync::atomic::Ordering;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -341,8 +341,10 @@
         let after = query.get("after").cloned().unwrap_or_default();
         let found: Vec<Value> = data
             .entries
-            .iter()
-            .filter(|(key, _)| key.starts_with(prefix) && **key > after)
+            .range(prefix.clone().max(after.clone())..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .filter(|(key, _)| **key > after)
+            .take(501)
             .map(|(key, entry)| StoreData::item(key, entry))
             .collect();
         let page: Vec<&Value> = found.iter().take(500).collect();
@@ -366,10 +368,12 @@
             {
                 self.expire();
                 let data = locked(&self.data);
-                let events: Vec<Value> = data
+                let seen = data
                     .history
+                    .partition_point(|(revision, ..)| *revision <= after);
+                let events: Vec<Value> = data.history[seen..]
                     .iter()
-                    .filter(|(revision, key, _)| *revision > after && key.starts_with(prefix))
+                    .filter(|(_, key, _)| key.starts_with(prefix))
                     .map(|(revision, key, entry)| match entry {
                         Some(entry) => StoreData::item(key, entry),
                         None => json!({ "key": key, "revision": revision, "removed": true }),
