Keep the lease renewed while the state is restored

Cause: the owner's loop and the renewal of its lease are polled in one task on one thread. While jobs were decoded and restored and the log was replayed, nothing was renewed, read or answered, so that an owner lost its lease by its own work, and the next one as well. Change: the loops over stored items give the other work of the gate its turn after 64 items (Turns): decoding, restoring jobs, replaying, noting batches, and the jobs that the poll of the store finds, which come to the owner in portions. finish_restore can be done in portions (begin_finish, finish_portion). The drains of the event queue do the same for the events that were queued at their begin; what comes meanwhile is handled without a turn, so that the queue is empty at the tick after it. Batches are noted in the log by the owner, so that a restore needs only the store and a scheduler. Measured: the new test counts, in each step without calls to the store, how often a future that is polled beside the restore has its turn.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -54,7 +54,7 @@
     StartOrder, StartResult, StopOrder,
 };
 pub use policies::Policies;
-pub use restore::{CrashRecord, Record};
+pub use restore::{CrashRecord, Record, RestoreRest};
 pub use retention::{Removal, Retention};
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
 pub use run_forecasts::RunSample;
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -32,6 +32,17 @@
     batch: u32,
 }
 
+/// What is left of a restore after the replay.
+#[derive(Debug)]
+pub struct RestoreRest {
+    /// The runs that earlier owners ordered, in the order of their tasks.
+    runs: std::vec::IntoIter<(RunKey, LoggedRun)>,
+    /// The newest batch that names a run on a host.
+    newest: HashMap<HostId, u32>,
+    /// The jobs; `None` while there are runs.
+    jobs: Option<std::vec::IntoIter<WorkflowId>>,
+}
+
 /// A change that a new owner has to know. Stored logs name the variants by their position, so that
 /// new ones go to the end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -224,75 +235,121 @@
             .any(|step| step.failure_limit_reached(attempts))
     }
 
-    /// Adopts runs that earlier owners ordered and that may still exist. They hold their claims
-    /// until their host reports or its lease expires.
-    fn adopt_inherited(&mut self, now: Millis) {
-        let logged_runs: HashMap<_, _> = std::mem::take(&mut self.logged_runs);
+    /// Adopts a run that an earlier owner ordered if it may still exist. It holds its claim until its
+    /// host reports or its lease expires.
+    fn adopt_logged(
+        &mut self,
+        (task, run): RunKey,
+        logged: LoggedRun,
+        newest_batch: u32,
+        now: Millis,
+    ) {
+        let id = logged.host;
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let ended = job.end.is_some();
+        let Some(step) = Self::step_of(job, task.step) else {
+            return;
+        };
+        let size = step.spec.size;
+        let state = usize::try_from(task.index)
+            .ok()
+            .and_then(|at| step.tasks.get(at));
+        let over = state.is_none_or(|state| {
+            let failed = state.failed.contains(&run);
+            state.phase == Phase::Done || failed || state.run > run
+        });
+        if ended || over || step.failed.contains(&run) {
+            return;
+        }
+        if !self.hosts.contains_key(&id) {
+            let entry = HostEntry {
+                id: id.clone(),
+                ..HostEntry::default()
+            };
+            let mut host = Host::new(entry, now);
+            host.listed = false;
+            self.hosts.insert(id.clone(), host);
+        }
+        self.adopt(&id, (task, run), size, now);
+        if let Some(host) = self.hosts.get_mut(&id) {
+            // A run that needs no adoption may have been the last to start.
+            host.newest_batch = newest_batch;
+        }
+        if let Some(claim) = self.claim(&id, (task, run)) {
+            claim.boot_ms = logged.boot_ms;
+            claim.batch = logged.batch;
+        }
+    }
+
+    /// Ends a job whose tasks have all ended or failed too often, or marks its steps that can start as
+    /// ready.
+    fn finish_job(&mut self, id: WorkflowId, now: Millis, actions: &mut Vec<Action>) {
+        let guilty = self.guilty_task(id);
+        if let Some(task) = guilty {
+            self.report_verdict(task, actions);
+        }
+        if guilty.is_some() || self.is_exhausted(id) {
+            self.end_job(id, WorkflowStatus::Failed, now, actions);
+        } else {
+            self.advance(id, now, actions);
+        }
+    }
+
+    /// Begins to complete the restore, which [`Self::finish_portion`] goes on with. Nothing may be
+    /// placed and no event applied until that has ended.
+    pub fn begin_finish(&mut self) -> RestoreRest {
+        let logged_runs = std::mem::take(&mut self.logged_runs);
         let mut newest: HashMap<HostId, u32> = HashMap::default();
         for run in logged_runs.values() {
             let batch = newest.entry(run.host.clone()).or_default();
             *batch = run.batch.max(*batch);
         }
         // What the owner does must not depend on how many runs of ended jobs the log names.
-        let mut logged_runs: Vec<_> = logged_runs.into_iter().collect();
-        logged_runs.sort_unstable_by_key(|(key, _)| *key);
-        for ((task, run), logged) in logged_runs {
-            let id = logged.host;
-            let Some(job) = self.jobs.get_mut(&task.step.job) else {
-                continue;
-            };
-            let ended = job.end.is_some();
-            let Some(step) = Self::step_of(job, task.step) else {
-                continue;
-            };
-            let size = step.spec.size;
-            let state = usize::try_from(task.index)
-                .ok()
-                .and_then(|at| step.tasks.get(at));
-            let over = state.is_none_or(|state| {
-                let failed = state.failed.contains(&run);
-                state.phase == Phase::Done || failed || state.run > run
-            });
-            if ended || over || step.failed.contains(&run) {
+        let mut runs: Vec<_> = logged_runs.into_iter().collect();
+        runs.sort_unstable_by_key(|(key, _)| *key);
+        RestoreRest {
+            runs: runs.into_iter(),
+            newest,
+            jobs: None,
+        }
+    }
+
+    /// Goes on to complete the restore by this many runs and jobs: adopts the inherited runs first, then
+    /// ends the jobs whose tasks have all ended or failed too often, and marks the steps that can start
+    /// as ready. Returns whether anything is left.
+    pub fn finish_portion(
+        &mut self,
+        rest: &mut RestoreRest,
+        count: usize,
+        now: Millis,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        for _ in 0..count {
+            if let Some((key, logged)) = rest.runs.next() {
+                let newest = rest.newest.get(&logged.host).copied();
+                self.adopt_logged(key, logged, newest.unwrap_or_default(), now);
                 continue;
             }
-            if !self.hosts.contains_key(&id) {
-                let entry = HostEntry {
-                    id: id.clone(),
-                    ..HostEntry::default()
-                };
-                let mut host = Host::new(entry, now);
-                host.listed = false;
-                self.hosts.insert(id.clone(), host);
-            }
-            self.adopt(&id, (task, run), size, now);
-            if let Some(host) = self.hosts.get_mut(&id) {
-                // A run that needs no adoption may have been the last to start.
-                host.newest_batch = newest.get(&id).copied().unwrap_or_default();
-            }
-            if let Some(claim) = self.claim(&id, (task, run)) {
-                claim.boot_ms = logged.boot_ms;
-                claim.batch = logged.batch;
+            if rest.jobs.is_none() {
+                self.restore_losses(now);
             }
+            let jobs = rest.jobs.get_or_insert_with(|| {
+                let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
+                ids.into_iter()
+            });
+            let Some(id) = jobs.next() else {
+                return false;
+            };
+            self.finish_job(id, now, actions);
         }
+        true
     }
 
-    /// Completes the restore: ends the jobs whose tasks have all ended or failed too often, and
-    /// marks the steps that can start as ready.
+    /// Completes the restore at once.
     pub fn finish_restore(&mut self, now: Millis, actions: &mut Vec<Action>) {
-        self.adopt_inherited(now);
-        self.restore_losses(now);
-        let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
-        for id in ids {
-            let guilty = self.guilty_task(id);
-            if let Some(task) = guilty {
-                self.report_verdict(task, actions);
-            }
-            if guilty.is_some() || self.is_exhausted(id) {
-                self.end_job(id, WorkflowStatus::Failed, now, actions);
-            } else {
-                self.advance(id, now, actions);
-            }
-        }
+        let mut rest = self.begin_finish();
+        while self.finish_portion(&mut rest, usize::MAX, now, actions) {}
     }
 }
--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -26,12 +26,13 @@
 pub mod records;
 mod refusals;
 mod registry;
-mod restore;
-mod restore_progress;
+pub mod restore;
+pub mod restore_progress;
 mod run_times;
 mod share_report;
-mod shared;
+pub mod shared;
 mod speeds;
+pub mod turns;
 mod waits;
 
 pub use launch::run;
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -11,6 +11,7 @@
 use super::owner_event::OwnerEvent;
 use super::records::{JOBS_PREFIX, decode_job, is_cancelled};
 use super::shared::Shared;
+use super::turns::{MAX_ITEMS, Turns};
 
 /// The time between polls of the store for accepted jobs, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 1_000;
@@ -34,16 +35,9 @@
         if revision <= after {
             continue;
         }
-        let jobs = decode_jobs(&items);
+        let jobs = decode_jobs(&items).await;
         let found = jobs.len();
-        let (answer, added) = oneshot::channel();
-        if events
-            .send(OwnerEvent::JobsFound(jobs, revision, answer))
-            .is_err()
-        {
-            return;
-        }
-        if added.await == Ok(true) {
+        if send_jobs(&events, jobs, after, revision).await {
             after = revision;
         } else {
             info!(
@@ -54,6 +48,30 @@
     }
 }
 
+/// Sends the owner jobs that are complete after one revision up to another, in bounded portions; returns
+/// whether it has added all.
+async fn send_jobs(
+    events: &mpsc::UnboundedSender<OwnerEvent>,
+    mut jobs: Vec<StoredJob>,
+    after: u64,
+    revision: u64,
+) -> bool {
+    loop {
+        let later = jobs.split_off(jobs.len().min(MAX_ITEMS));
+        // The jobs are complete only with the last portion.
+        let complete = if later.is_empty() { revision } else { after };
+        let (answer, added) = oneshot::channel();
+        let event = OwnerEvent::JobsFound(jobs, complete, answer);
+        if events.send(event).is_err() || added.await != Ok(true) {
+            return false;
+        }
+        if later.is_empty() {
+            return true;
+        }
+        jobs = later;
+    }
+}
+
 /// Returns the jobs that were stored after a revision, or all if the store no longer has the
 /// changes, with the revision up to which they are complete.
 async fn read_changes(shared: &Shared, after: u64) -> Result<(Vec<Item>, u64), StoreError> {
@@ -71,17 +89,23 @@
 }
 
 /// Decodes jobs; one that cannot be decoded is skipped.
-pub fn decode_jobs(items: &[Item]) -> Vec<StoredJob> {
-    let jobs = items.iter().filter(|item| !is_cancelled(item));
-    let decoded = jobs.filter_map(|item| {
-        decode_job(item)
-            .inspect_err(|error| {
+pub async fn decode_jobs(items: &[Item]) -> Vec<StoredJob> {
+    let mut turns = Turns::default();
+    let mut jobs = Vec::with_capacity(items.len());
+    for item in items {
+        turns.count(1).await;
+        if is_cancelled(item) {
+            continue;
+        }
+        match decode_job(item) {
+            Ok(job) => jobs.push(job),
+            Err(error) => {
                 warn!(
                     error = format!("{error:#}"),
                     "owner: a stored job cannot be decoded; it is skipped."
                 );
-            })
-            .ok()
-    });
-    decoded.collect()
+            }
+        }
+    }
+    jobs
 }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -28,11 +28,12 @@
 use super::peers::{self, PeerAnswer, PeerCall};
 use super::registry;
 use super::restore::Restore;
-use super::restore_progress::RestoreProgress;
+use super::restore_progress::{RestoreProgress, RestoreStep, StepSize};
 use super::run_times::RunTimesWriter;
 use super::share_report::ShareReport;
 use super::shared::Shared;
 use super::speeds;
+use super::turns::Turns;
 use super::waits::WaitReport;
 use crate::clock::wall_ms;
 
@@ -178,16 +179,12 @@
                 event = receiver.recv() => {
                     let Some(event) = event else { break };
                     self.handle_event(event, &mut actions);
-                    while let Ok(event) = receiver.try_recv() {
-                        self.handle_event(event, &mut actions);
-                    }
+                    self.drain_events(&mut receiver, &mut actions).await;
                 }
                 _ = ticks.tick() => {
                     // A tick ends what has expired, so it must see every event before it: after a
                     // pause of the process, reports and sent polls are still queued.
-                    while let Ok(event) = receiver.try_recv() {
-                        self.handle_event(event, &mut actions);
-                    }
+                    self.drain_events(&mut receiver, &mut actions).await;
                     self.check_views();
                     let age_ms = self.registry_age().0;
                     let metrics = &self.shared.metrics;
@@ -292,13 +289,29 @@
             shared: &self.shared,
             progress: &self.progress,
             scheduler: &mut self.scheduler,
-            log: &mut self.log,
         };
         let restored = restore.run().await?;
+        let batches = restored.batches.len();
         self.intake = Intake::new(restored.revision);
+        let mut turns = Turns::default();
+        self.progress
+            .begin(RestoreStep::NoteBatches, self.shared.now());
+        for (key, records) in restored.batches {
+            turns.count(records.len()).await;
+            self.log.add_batch(&key, records);
+        }
+        if !restored.is_readable {
+            self.log.disable_compaction();
+        }
         for action in restored.actions {
+            turns.count(1).await;
             self.execute(action);
         }
+        self.progress
+            .add(RestoreStep::NoteBatches, StepSize::items(batches));
+        self.progress
+            .end(RestoreStep::NoteBatches, self.shared.now());
+        self.progress.finish(self.shared.now());
         let took_ms = self.shared.now().since(self.began).0;
         let metrics = &self.shared.metrics;
         metrics.set_gauge("restore_ms", took_ms);
@@ -308,7 +321,7 @@
             epoch = self.epoch,
             jobs = restored.jobs,
             open = self.scheduler.open_jobs(),
-            batches = restored.batches,
+            batches,
             took_ms,
             steps = %self.progress,
             "owner: state restored from the store."
@@ -316,6 +329,26 @@
         Ok(restored.revision)
     }
 
+    /// Handles the events that are queued. The other work of the gate has its turn after a bounded number of
+    /// them; the queue is empty at the end, and nothing else has run since it was.
+    async fn drain_events(
+        &mut self,
+        receiver: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut turns = Turns::default();
+        // Only these, since events may come as fast as they are handled.
+        for _ in 0..receiver.len() {
+            turns.count(1).await;
+            if let Ok(event) = receiver.try_recv() {
+                self.handle_event(event, actions);
+            }
+        }
+        while let Ok(event) = receiver.try_recv() {
+            self.handle_event(event, actions);
+        }
+    }
+
     fn handle_event(&mut self, event: OwnerEvent, actions: &mut Vec<Action>) {
         let now = self.shared.now();
         self.check_views();
--- a/wigeongate/src/entry/restore.rs
+++ b/wigeongate/src/entry/restore.rs
@@ -10,11 +10,11 @@
 
 use super::callers::job_age;
 use super::job_watch;
-use super::log::Log;
 use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode, is_cancelled};
 use super::restore_progress::{RestoreProgress, RestoreStep, StepSize};
 use super::run_times;
 use super::shared::Shared;
+use super::turns::{MAX_ITEMS, Turns};
 use crate::clock::wall_ms;
 
 /// The least share of a core with which jobs and log are read at a time. The links of smaller hosts are
@@ -30,10 +30,11 @@
     pub progress: &'a RestoreProgress,
     /// The scheduler, which has the configuration already.
     pub scheduler: &'a mut WorkflowScheduler,
-    /// The log of the new epoch.
-    pub log: &'a mut Log,
 }
 
+/// The records of a batch of the log, with its key.
+pub type StoredBatch = (String, Vec<Record>);
+
 /// What a restore has brought.
 #[derive(Debug)]
 pub struct Restored {
@@ -41,8 +42,10 @@
     pub revision: u64,
     /// The number of stored jobs.
     pub jobs: usize,
-    /// The number of stored batches of the log.
-    pub batches: usize,
+    /// The batches of the log, in the order in which they were written.
+    pub batches: Vec<StoredBatch>,
+    /// Whether everything that is stored could be decoded.
+    pub is_readable: bool,
     /// What the scheduler has decided on.
     pub actions: Vec<Action>,
 }
@@ -61,37 +64,32 @@
 struct StoredState {
     /// In the order in which they were accepted.
     jobs: Vec<StoredJob>,
-    /// The records of each batch with its key, in the order in which they were written.
-    batches: Vec<(String, Vec<Record>)>,
+    /// In the order in which they were written.
+    batches: Vec<StoredBatch>,
     /// Whether everything could be decoded.
     is_readable: bool,
 }
 
 impl Restore<'_> {
-    /// Reads the accepted jobs and the log from the store and replays them.
+    /// Reads the accepted jobs and the log from the store and replays them. The other work of the gate
+    /// has its turn after a bounded number of items.
     ///
     /// Fails if the store cannot be read; the error names the step.
     pub async fn run(mut self) -> Result<Restored> {
         let items = self.read().await?;
-        let (revision, jobs, batches) = (items.revision, items.jobs.len(), items.batches.len());
-        let state = self.decode(&items);
+        let (revision, jobs) = (items.revision, items.jobs.len());
+        let state = self.decode(&items).await;
         drop(items);
         let now = self.shared.now();
         self.scheduler.tick(now, wall_ms(), &mut Vec::new());
-        self.restore_jobs(state.jobs, now);
-        self.replay(state.batches, now);
-        if !state.is_readable {
-            self.log.disable_compaction();
-        }
-        let mut actions = Vec::new();
-        self.begin(RestoreStep::Finish);
-        self.scheduler.finish_restore(now, &mut actions);
-        self.end(RestoreStep::Finish, StepSize::items(jobs));
-        self.progress.finish(self.shared.now());
+        self.restore_jobs(state.jobs, now).await;
+        self.replay(&state.batches, now).await;
+        let actions = self.finish(now, jobs).await;
         Ok(Restored {
             revision,
             jobs,
-            batches,
+            batches: state.batches,
+            is_readable: state.is_readable,
             actions,
         })
     }
@@ -155,19 +153,24 @@
     }
 
     /// Decodes what was read; what cannot be decoded is skipped.
-    fn decode(&self, items: &StoredItems) -> StoredState {
+    async fn decode(&self, items: &StoredItems) -> StoredState {
         self.begin(RestoreStep::Decode);
-        let mut jobs = job_watch::decode_jobs(&items.jobs);
+        let mut jobs = job_watch::decode_jobs(&items.jobs).await;
         let stored = items.jobs.iter().filter(|item| !is_cancelled(item));
         let mut is_readable = jobs.len() == stored.count();
         // Jobs count against a team's limits in the order in which they were accepted.
         jobs.sort_by_key(|job| job.flow.accepted);
         let mut batches = Vec::with_capacity(items.batches.len());
+        let mut turns = Turns::default();
         for item in &items.batches {
             match decode::<LogBatch>(&item.key, &item.value) {
-                Ok(batch) => batches.push((item.key.clone(), batch.records)),
+                Ok(batch) => {
+                    turns.count(batch.records.len()).await;
+                    batches.push((item.key.clone(), batch.records));
+                }
                 Err(error) => {
                     is_readable = false;
+                    turns.count(1).await;
                     warn!(
                         error = format!("{error:#}"),
                         "owner: a log batch cannot be decoded; it is skipped."
@@ -185,28 +188,47 @@
     }
 
     /// Adds the accepted jobs to the scheduler.
-    fn restore_jobs(&mut self, jobs: Vec<StoredJob>, now: Millis) {
+    async fn restore_jobs(&mut self, jobs: Vec<StoredJob>, now: Millis) {
         self.begin(RestoreStep::RestoreJobs);
         let size = StepSize::items(jobs.len());
+        let mut turns = Turns::default();
         for job in jobs {
             let age = job_age(job.flow.accepted);
             self.scheduler.restore(job.flow, now, age);
+            turns.count(1).await;
         }
         self.end(RestoreStep::RestoreJobs, size);
     }
 
     /// Replays the records of the log.
-    fn replay(&mut self, batches: Vec<(String, Vec<Record>)>, now: Millis) {
+    async fn replay(&mut self, batches: &[StoredBatch], now: Millis) {
         self.begin(RestoreStep::Replay);
         let mut size = StepSize::default();
-        for (key, records) in batches {
+        let mut turns = Turns::default();
+        for (_, records) in batches {
             self.scheduler.begin_batch();
-            for record in &records {
+            for record in records {
                 self.scheduler.replay(record, now);
+                turns.count(1).await;
             }
             size.items += records.len();
-            self.log.add_batch(&key, records);
         }
         self.end(RestoreStep::Replay, size);
     }
+
+    /// Completes the restore; returns what the scheduler has decided on.
+    async fn finish(&mut self, now: Millis, jobs: usize) -> Vec<Action> {
+        self.begin(RestoreStep::Finish);
+        let mut actions = Vec::new();
+        let mut turns = Turns::default();
+        let mut rest = self.scheduler.begin_finish();
+        while self
+            .scheduler
+            .finish_portion(&mut rest, MAX_ITEMS, now, &mut actions)
+        {
+            turns.count(MAX_ITEMS).await;
+        }
+        self.end(RestoreStep::Finish, StepSize::items(jobs));
+        actions
+    }
 }
--- a/wigeongate/src/entry/restore_progress.rs
+++ b/wigeongate/src/entry/restore_progress.rs
@@ -32,10 +32,13 @@
     /// Inherited runs are adopted and the steps of the jobs made ready.
     #[display("finish")]
     Finish,
+    /// The batches of the log are noted for their removal, and what was decided is carried out.
+    #[display("note batches")]
+    NoteBatches,
 }
 
 impl RestoreStep {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::ReadJobs,
         Self::ReadLog,
         Self::ReadRunTimes,
@@ -43,6 +46,7 @@
         Self::RestoreJobs,
         Self::Replay,
         Self::Finish,
+        Self::NoteBatches,
     ];
 }
 
@@ -125,7 +129,7 @@
         self.progress().restored
     }
 
-    /// Returns the step that the restore is in, the first one if several go on beside each other.
+    /// Returns the step that the restore is in or has just ended, the first one if several go on beside each other.
     pub fn current(&self) -> RestoreStep {
         let steps = self.progress().steps;
         let is_open = |step: &RestoreStep| {
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod outages;
 mod platform;
 mod restarts;
+mod restore_turns;
 mod retention;
 mod routes;
 mod run_times;
