Let steps of stored jobs wait until their ends are read

Cause: a restore put the first steps of every stored job into the list of steps that may start, and each end in the log scanned that list: the square of the stored jobs. Each end of a job at work scanned all ready and due steps as well. Change: restored jobs enter the list when the restore is finished, if they have not ended; an end removes the steps of its job alone. The gauges `steps_ready` and `steps_due` show the sizes. Measured: `steps_of_stored_jobs_are_not_ready_before_their_ends_are_read` fails with the old restore, with 203 ready steps in place of 0.

--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -85,10 +85,10 @@
 
 impl WorkflowScheduler {
     /// Adds a job that was accepted before this owner took over; `age` is the time since its
-    /// acceptance.
+    /// acceptance. Its steps are ready once the restore is finished, if its end is not in the log.
     pub fn restore(&mut self, flow: Workflow, now: Millis, age: Millis) {
         let id = flow.id;
-        self.submit(flow, now, age);
+        self.insert_job(flow, now, age);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.inherited = true;
         }
@@ -112,7 +112,6 @@
                 job.end = Some(*status);
                 job.end_record = 0;
                 job.ended = now;
-                self.ready.retain(|step| step.job != id);
             }
             Record::Begun(_) => job.started = true,
             Record::Started(task, run, host) => self.log_run((*task, *run), host, 0),
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -229,7 +229,23 @@
     }
 
     /// Adds an accepted job and returns whether it is new; `age` is the time since its acceptance.
-    pub fn submit(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
+    pub fn submit(&mut self, flow: Workflow, now: Millis, age: Millis) -> bool {
+        let id = flow.id;
+        if !self.insert_job(flow, now, age) {
+            return false;
+        }
+        for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
+            self.attach(&host, run);
+            if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
+                self.begin_job(id);
+            }
+        }
+        self.advance(id, now, &mut Vec::new());
+        true
+    }
+
+    /// Adds a job of which no step may start yet; returns whether it is new.
+    pub(super) fn insert_job(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
         let id = flow.id;
         if self.jobs.contains_key(&id) {
             return false;
@@ -246,13 +262,6 @@
         };
         self.apply_forecasts(&mut job);
         self.jobs.insert(id, job);
-        for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
-            self.attach(&host, run);
-            if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
-                self.begin_job(id);
-            }
-        }
-        self.advance(id, now, &mut Vec::new());
         true
     }
 
@@ -550,8 +559,7 @@
         job.end_record = number;
         job.ended = now;
         let runs = job.runs();
-        self.ready.retain(|step| step.job != id);
-        self.due.retain(|(_, step)| step.job != id);
+        self.remove_steps(id);
         for (host, run) in runs {
             self.stop_run(&host, run, now, out);
         }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -4,6 +4,7 @@
 mod bad_queues;
 mod begun_jobs;
 mod capacity;
+mod costs_of_the_past;
 mod crashes;
 mod freshness;
 mod gang_rounds;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -190,6 +190,9 @@
                     let metrics = &self.shared.metrics;
                     metrics.set_gauge("registry_age_ms", age_ms);
                     metrics.set_gauge("advice_waiting", self.scheduler.waiting_for_gate());
+                    let (ready, due) = self.scheduler.waiting_steps();
+                    metrics.set_gauge("steps_ready", u64::try_from(ready).unwrap_or(u64::MAX));
+                    metrics.set_gauge("steps_due", u64::try_from(due).unwrap_or(u64::MAX));
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.waits.tick(&self.scheduler, &self.shared);
                     self.share_report.tick(&self.scheduler, &self.shared);
