Count open jobs instead of scanning all stored ones

Change: `JobCounts` keeps the number of open jobs and, by queue, of those that are not known to have started; a takeover counts once, when its restore is finished. The gauge `jobs_open` shows the former. Measured: the worlds of the workflow tests compare the counts with the statuses of all jobs every 500 ms; with the line that counts a start left out, `random_workloads_violate_no_rule` fails with wrong counts.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -18,6 +18,7 @@
 mod intake;
 mod isolation;
 mod job;
+mod job_counts;
 mod load;
 mod log_compaction;
 mod message;
--- a/wigeongate-core/src/workflow/begun.rs
+++ b/wigeongate-core/src/workflow/begun.rs
@@ -18,6 +18,7 @@
         };
         job.started = true;
         if job.end.is_none() {
+            self.counts.start(&job.flow.queue);
             self.begun.push(id);
         }
     }
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -6,6 +6,7 @@
 use super::evidence::Evidence;
 use super::host::{Host, HostEntry, RunKey};
 use super::job::{Phase, WorkflowStatus};
+use super::job_counts::JobCounts;
 use super::message::Action;
 use super::scheduler::WorkflowScheduler;
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
@@ -279,6 +280,7 @@
     /// Completes the restore: ends the jobs whose tasks have all ended or failed too often, and
     /// marks the steps that can start as ready.
     pub fn finish_restore(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        self.counts = JobCounts::of(self.jobs.values());
         self.adopt_inherited(now);
         self.restore_losses(now);
         let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -10,6 +10,7 @@
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
+use super::job_counts::JobCounts;
 use super::log_compaction::JobFate;
 use super::message::{Action, Proof, StopOrder};
 use super::placement_pass::Pass;
@@ -80,6 +81,8 @@
     pub(super) rules: Arc<Rules>,
     pub(super) hosts: HashMap<HostId, Host>,
     pub(super) jobs: HashMap<WorkflowId, Job>,
+    /// Counts of the open jobs; valid once the restore is finished.
+    pub(super) counts: JobCounts,
     /// Jobs that have begun and have no record of it yet.
     pub(super) begun: Vec<WorkflowId>,
     /// Steps with waiting tasks that may start.
@@ -231,9 +234,11 @@
     /// Adds an accepted job and returns whether it is new; `age` is the time since its acceptance.
     pub fn submit(&mut self, flow: Workflow, now: Millis, age: Millis) -> bool {
         let id = flow.id;
+        let queue = flow.queue.clone();
         if !self.insert_job(flow, now, age) {
             return false;
         }
+        self.counts.add(&queue);
         for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
             self.attach(&host, run);
             if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
@@ -300,13 +305,12 @@
 
     /// Returns the number of accepted jobs of a queue that are not known to have started.
     pub fn queued_jobs(&self, queue: &QueueId) -> usize {
-        let waits = |job: &&Job| !job.started && job.end.is_none() && job.flow.queue == *queue;
-        self.jobs.values().filter(waits).count()
+        self.counts.queued(queue)
     }
 
     /// Returns the number of jobs that have not ended.
-    pub fn open_jobs(&self) -> usize {
-        self.jobs.values().filter(|job| job.end.is_none()).count()
+    pub const fn open_jobs(&self) -> usize {
+        self.counts.open()
     }
 
     /// Handles that every record up to a number has been written: orders the starts and forgets the
@@ -362,7 +366,9 @@
     /// Forgets jobs that the store no longer holds.
     pub fn forget_jobs(&mut self, jobs: &[WorkflowId]) {
         for id in jobs {
-            self.jobs.remove(id);
+            if let Some(job) = self.jobs.remove(id).filter(|job| job.end.is_none()) {
+                self.counts.end(&job);
+            }
         }
     }
 
@@ -555,6 +561,9 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if job.end.is_none() {
+            self.counts.end(job);
+        }
         job.end = Some(status);
         job.end_record = number;
         job.ended = now;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -32,6 +32,9 @@
 /// Duration of one simulation step, in milliseconds.
 const STEP_MS: u64 = 10;
 
+/// The time between comparisons of the counts of open jobs with all jobs, in milliseconds.
+const CHECK_MS: u64 = 500;
+
 /// A seeded random number generator.
 #[derive(Debug, Clone)]
 pub struct Rng(u64);
@@ -511,6 +514,9 @@
         self.scheduler.place(now, &mut actions);
         self.carry_out(actions);
         self.compact_log();
+        if self.now.is_multiple_of(CHECK_MS) {
+            self.check_counts();
+        }
         if self.now.is_multiple_of(50) {
             let ids: Vec<HostId> = self.executors.keys().cloned().collect();
             for id in ids {
@@ -519,6 +525,32 @@
         }
     }
 
+    /// Compares the counts of open jobs with the statuses. While records are not written, a job that
+    /// has ended is shown as open.
+    fn check_counts(&mut self) {
+        if !self.scheduler.is_written(self.scheduler.last_record()) {
+            return;
+        }
+        let (mut open, mut queued) = (0, BTreeMap::new());
+        for flow in &self.flows {
+            let queue = queued.entry(&flow.queue).or_default();
+            match self.scheduler.status(flow.id) {
+                Some(WorkflowStatus::Queued) => (open, *queue) = (open + 1, *queue + 1),
+                Some(WorkflowStatus::Running) => open += 1,
+                _ => {}
+            }
+        }
+        let is_right =
+            |(queue, count): (&&QueueId, &usize)| self.scheduler.queued_jobs(queue) == *count;
+        let counted = self.scheduler.open_jobs();
+        if counted != open || !queued.iter().all(is_right) {
+            let (now, queued) = (self.now, format!("{queued:?}"));
+            self.violations.push(format!(
+                "{now}: {open} open jobs, counted {counted}; {queued}"
+            ));
+        }
+    }
+
     fn finish_runs(&mut self) {
         for executor in self.executors.values_mut() {
             let ready: Vec<_> = executor
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -191,6 +191,8 @@
                     metrics.set_gauge("registry_age_ms", age_ms);
                     metrics.set_gauge("advice_waiting", self.scheduler.waiting_for_gate());
                     let (ready, due) = self.scheduler.waiting_steps();
+                    let open = self.scheduler.open_jobs();
+                    metrics.set_gauge("jobs_open", u64::try_from(open).unwrap_or(u64::MAX));
                     metrics.set_gauge("steps_ready", u64::try_from(ready).unwrap_or(u64::MAX));
                     metrics.set_gauge("steps_due", u64::try_from(due).unwrap_or(u64::MAX));
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
