Forget teams, queues and runs of unknown jobs that are gone

Cause: an owner kept four maps for as long as it lived: the usage of each team that ever had a run (visited every 50 ms for the fair shares), the allowance of each team that ever submitted, the share of hosts that advice allowed for each queue that ever asked, and each run that a host reported for a job that is not known. Change: a usage of zero is removed; a version of the configuration removes allowances and shares of teams and queues that it does not name; a run of an unknown job is forgotten when it ends. Jobs of a removed queue begin again with the estimate for new queues at their next call. Gauges `kept_*` show the sizes.

--- a/wigeongate-core/src/workflow/allowance.rs
+++ b/wigeongate-core/src/workflow/allowance.rs
@@ -22,6 +22,16 @@
 pub(super) struct Allowances(HashMap<TeamId, Remaining>);
 
 impl Allowances {
+    /// Forgets the other teams.
+    pub fn retain(&mut self, is_known: impl Fn(&TeamId) -> bool) {
+        self.0.retain(|team, _| is_known(team));
+    }
+
+    /// Returns the number of teams.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Counts a submitted job and returns whether its team is over its share, which is as many jobs
     /// a second as its weight. Jobs without a team, and teams without a weight, are never over.
     pub fn exceeds_share(&mut self, flow: &Workflow, teams: &HashMap<TeamId, TeamRules>) -> bool {
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -428,9 +428,13 @@
                 && let Some(usage) = self.usage.get_mut(team)
             {
                 *usage = usage.saturating_sub(&claim.size);
+                if usage.is_zero() {
+                    self.usage.remove(team);
+                }
             }
         }
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
+            self.forget_orphan(id, key);
             return;
         };
         let ended = job.end.is_some();
@@ -459,6 +463,17 @@
         }
     }
 
+    /// Forgets the run of an unknown job.
+    fn forget_orphan(&mut self, id: &HostId, key: RunKey) {
+        let job = key.0.step.job;
+        if let Some(runs) = self.orphan_runs.get_mut(&job) {
+            runs.retain(|(host, run)| host != id || *run != key);
+            if runs.is_empty() {
+                self.orphan_runs.remove(&job);
+            }
+        }
+    }
+
     fn finish_task(
         &mut self,
         key: RunKey,
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -152,6 +152,11 @@
     /// Applies a version of the configuration.
     pub fn configure(&mut self, rules: Arc<Rules>) {
         self.rules = rules;
+        let rules = &self.rules;
+        self.allowances
+            .retain(|team| rules.teams.contains_key(team));
+        self.advice_totals
+            .retain(|queue, _| rules.queues.contains_key(queue));
         self.dirty = true;
     }
 
@@ -308,6 +313,17 @@
         self.counts.queued(queue)
     }
 
+    /// Returns the number of teams, queues and unknown jobs of which something is kept, with the names
+    /// of their gauges.
+    pub fn kept_sizes(&self) -> [(&'static str, usize); 4] {
+        [
+            ("kept_team_usages", self.usage.len()),
+            ("kept_team_allowances", self.allowances.len()),
+            ("kept_advice_shares", self.advice_totals.len()),
+            ("kept_unknown_jobs", self.orphan_runs.len()),
+        ]
+    }
+
     /// Returns the number of jobs that have not ended.
     pub const fn open_jobs(&self) -> usize {
         self.counts.open()
--- a/wigeongate-core/tests/workflow/costs_of_the_past.rs
+++ b/wigeongate-core/tests/workflow/costs_of_the_past.rs
@@ -2,15 +2,16 @@
 
 use std::sync::Arc;
 
+use wigeongate_core::ids::{HostId, QueueId, TeamId};
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Record, Repeat, StepSpec, Workflow, WorkflowId, WorkflowScheduler, WorkflowSettings,
-    WorkflowStatus,
+    Advice, Ended, HostReport, Record, Repeat, Rules, RunOutcome, Running, StartResult, StepSpec,
+    TeamRules, Workflow, WorkflowId, WorkflowScheduler, WorkflowSettings, WorkflowStatus,
 };
 
-use crate::CORE;
-use crate::world::{flow, rules, step};
+use crate::world::{flow, host, queue, rules, step};
+use crate::{CORE, place, starts, task};
 
 const NOW: Millis = Millis(10_000);
 
@@ -86,3 +87,91 @@
         assert_eq!(scheduler.waiting_steps(), (2, 0), "{}", case.name);
     }
 }
+
+/// The rules of a version that knows one queue and one team.
+fn version(queue_id: &QueueId, team: &TeamId) -> Rules {
+    let mut rules = rules(3, Resources::UNBOUNDED);
+    let queue_rules = rules.queues.remove(&queue()).expect("the queue exists");
+    rules.queues.insert(queue_id.clone(), queue_rules);
+    rules.teams.clear();
+    let team_rules = TeamRules {
+        weight: 10.0,
+        maximum: Resources::UNBOUNDED,
+    };
+    rules.teams.insert(team.clone(), team_rules);
+    rules
+}
+
+/// Guards against teams, queues and runs of unknown jobs that an owner kept for as long as it lived.
+#[test]
+fn what_is_kept_of_teams_queues_and_unknown_jobs_follows_what_is_there() {
+    let id = HostId::from("w-0");
+    let mut scheduler = scheduler();
+    scheduler.list_host(host(0, 8 * CORE), NOW);
+    let mut ended = Vec::new();
+    for number in 1..=60 {
+        let now = NOW + Millis(number * 1_000);
+        let queue = QueueId::from(format!("queue-{number}"));
+        let team = TeamId::from(format!("team-{number}"));
+        scheduler.configure(Arc::new(version(&queue, &team)));
+        let unknown = Running {
+            task: task(1_000 + number, 0, 0),
+            run: 1,
+            checkpoint: String::new(),
+        };
+        let mut report = |at: Millis, running: Vec<Running>, ended: &[Ended]| {
+            let report = HostReport {
+                boot_ms: 1,
+                sent: at,
+                lease: at + Millis(3_000),
+                running,
+                ended: ended.to_vec(),
+            };
+            scheduler.apply_report(&id, &report, at, &mut Vec::new());
+        };
+        report(now, vec![unknown.clone()], &ended);
+        let job = Workflow {
+            queue,
+            team: Some(team),
+            ..single(number)
+        };
+        let name = task(number, 0, 0);
+        scheduler.submit(job, now, Millis::ZERO);
+        let advice = Advice {
+            allowed: vec![(id.clone(), "ticket".to_owned())],
+            until: now + Millis(2_000),
+        };
+        scheduler.apply_advice(name.step, std::slice::from_ref(&id), Some(&advice), now);
+        let mut actions = Vec::new();
+        place(&mut scheduler, now, &mut actions);
+        assert_eq!(starts(&actions), 1, "job {number}");
+        let run = (name, 1);
+        scheduler.start_result(&id, run, StartResult::Started, now, &mut actions);
+        let key = (unknown.task, unknown.run);
+        scheduler.stop_result(&id, key, now, now);
+        ended.push(Ended {
+            number,
+            task: name,
+            run: 1,
+            outcome: RunOutcome::Done,
+            checkpoint: String::new(),
+        });
+        let later = now + Millis(500);
+        let report = HostReport {
+            boot_ms: 1,
+            sent: later,
+            lease: later + Millis(3_000),
+            ended: ended.clone(),
+            ..HostReport::default()
+        };
+        scheduler.apply_report(&id, &report, later, &mut actions);
+        let status = scheduler.status(WorkflowId(number));
+        assert_eq!(
+            status,
+            Some(WorkflowStatus::Running),
+            "its end is not written"
+        );
+    }
+    let kept: Vec<usize> = scheduler.kept_sizes().map(|(_, size)| size).to_vec();
+    assert_eq!(kept, [0, 1, 1, 0]);
+}
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -190,6 +190,9 @@
                     let metrics = &self.shared.metrics;
                     metrics.set_gauge("registry_age_ms", age_ms);
                     metrics.set_gauge("advice_waiting", self.scheduler.waiting_for_gate());
+                    for (name, size) in self.scheduler.kept_sizes() {
+                        metrics.set_gauge(name, u64::try_from(size).unwrap_or(u64::MAX));
+                    }
                     let (ready, due) = self.scheduler.waiting_steps();
                     let open = self.scheduler.open_jobs();
                     metrics.set_gauge("jobs_open", u64::try_from(open).unwrap_or(u64::MAX));
