Drop tickets, verdicts and checkpoints that no further run needs

Cause: a step kept the tickets and verdicts of all its advice calls, and each task its newest checkpoint, for as long as the job was stored: 150 s after its end, and longer under owners that change. Change: a step drops them when its last task is done, and a job at its end. An answer that comes later, or a report of a run that is still to be stopped, brings none back; the answer still counts for the queue's share of allowed hosts.

--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -391,8 +391,22 @@
         now: Millis,
     ) {
         self.dirty = true;
-        let queue = self.jobs.get(&at.job).map(|job| job.flow.queue.clone());
-        let Some(step) = self.step(at) else { return };
+        let Some(job) = self.jobs.get(&at.job) else {
+            return;
+        };
+        if let Some(advice) = advice {
+            let counts = self
+                .advice_totals
+                .entry(job.flow.queue.clone())
+                .or_default();
+            counts.0 += u32::try_from(advice.allowed.len()).unwrap_or_default();
+            counts.1 += u32::try_from(named.len()).unwrap_or_default();
+        }
+        let is_open = job.end.is_none();
+        let step = self.step(at);
+        let Some(step) = step.filter(|step| is_open && step.remaining > 0) else {
+            return;
+        };
         for id in named {
             step.advice.pending.remove(id);
         }
@@ -412,11 +426,6 @@
                 step.advice.denied.insert(id.clone());
             }
         }
-        if let Some(queue) = queue {
-            let counts = self.advice_totals.entry(queue).or_default();
-            counts.0 += u32::try_from(advice.allowed.len()).unwrap_or_default();
-            counts.1 += u32::try_from(named.len()).unwrap_or_default();
-        }
     }
 }
 
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -266,6 +266,15 @@
         })
     }
 
+    /// Drops what only further runs would need.
+    pub fn drop_run_state(&mut self) {
+        let steps = self.occurrences.iter_mut().flat_map(|it| &mut it.steps);
+        for step in steps {
+            step.advice = StepAdvice::default();
+            step.tasks.iter_mut().for_each(Task::drop_checkpoint);
+        }
+    }
+
     /// Returns every run that holds a claim.
     pub fn runs(&self) -> Vec<(HostId, RunKey)> {
         let mut runs = Vec::new();
@@ -322,6 +331,11 @@
         runs
     }
 
+    /// Drops the checkpoint, which no further run needs.
+    pub fn drop_checkpoint(&mut self) {
+        self.checkpoint = Arc::default();
+    }
+
     /// Takes back that the host of a run crashed under it.
     pub fn acquit(&mut self, run: u32) {
         self.crashes.retain(|crash| crash.run != run);
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::host::{Claim, Host, HostContact, RunKey, Stage};
-use super::job::{Phase, WorkflowStatus};
+use super::job::{Phase, StepAdvice, WorkflowStatus};
 use super::message::{Action, Ended, HostReport, Proof, RunOutcome, Running};
 use super::restore::Record;
 use super::scheduler::{PendingForget, WorkflowScheduler};
@@ -207,6 +207,8 @@
         }
         if let Some(task) = self.task(running.task)
             && task.run == running.run
+            && task.phase != Phase::Done
+            && wanted
             && !running.checkpoint.is_empty()
         {
             task.checkpoint = Arc::from(running.checkpoint.as_str());
@@ -447,12 +449,12 @@
         };
         task.placements.retain(|place| *place != (id.clone(), run));
         task.run = task.run.max(run);
-        if !checkpoint.is_empty() {
-            task.checkpoint = Arc::from(checkpoint);
-        }
         if task.phase == Phase::Done || ended {
             return;
         }
+        if !checkpoint.is_empty() {
+            task.checkpoint = Arc::from(checkpoint);
+        }
         if outcome == RunOutcome::Failed {
             task.last_failed_host = Some(id.clone());
         }
@@ -515,11 +517,15 @@
         let waited = task.phase == Phase::Waiting;
         task.phase = Phase::Done;
         let copies = task.placements.clone();
+        task.drop_checkpoint();
         if waited {
             step.waiting -= 1;
         }
         step.remaining -= 1;
         let left = step.remaining;
+        if left == 0 {
+            step.advice = StepAdvice::default();
+        }
         self.record(Record::Done(name), out);
         for (host, run) in copies {
             self.stop_run(&host, (name, run), now, out);
@@ -548,9 +554,11 @@
         if outcome == RunOutcome::Done && !step.spec.long_running {
             for task in &mut step.tasks {
                 task.phase = Phase::Done;
+                task.drop_checkpoint();
             }
             step.remaining = 0;
             step.waiting = 0;
+            step.advice = StepAdvice::default();
             self.record(Record::GangDone(at), out);
             self.ready.remove(&at);
             self.advance(at.job, now, out);
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -583,6 +583,7 @@
         job.end = Some(status);
         job.end_record = number;
         job.ended = now;
+        job.drop_run_state();
         let runs = job.runs();
         self.remove_steps(id);
         for (host, run) in runs {
