Read the configuration anew without nesting when the store has forgotten changes

Cause: each time the store no longer had the changes since the last read, the function that follows the configuration awaited itself. The outer calls ended only with an error, so that memory, and the depth of the stack at each poll, grew with the number of times for as long as the store answered. Change: it returns, and its caller reads everything again at once, as before.

--- a/wigeongate/src/entry/configuration.rs
+++ b/wigeongate/src/entry/configuration.rs
@@ -96,11 +96,12 @@
         if let Err(error) = follow_once(&shared, &mut view).await {
             warn!(%error, age_ms = shared.configuration_age().0,
                 "configuration: the store cannot be read; trying again.");
+            sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
         }
-        sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
 }
 
+/// Reads the configuration and follows its changes, until the store no longer has all of them.
 async fn follow_once(shared: &Shared, view: &mut View) -> Result<(), StoreError> {
     let sent = shared.now();
     let (items, mut revision) = shared.store.range(manifest::OPERATOR_PREFIX).await?;
@@ -118,7 +119,7 @@
             .await
         {
             // Without the history since the last read, everything is read again at once.
-            Err(StoreError::Compacted(_)) => return Box::pin(follow_once(shared, view)).await,
+            Err(StoreError::Compacted(_)) => return Ok(()),
             other => other?,
         };
         revision = revision.max(read_revision);
