Keep counting known series when the bound on series is reached

Cause: with 500 series of a kind, which labels of queues that are gone fill over time, every event was counted under `other`, also those of series that exist, so that all counters and histograms stood still. Change: only events with a new label count as `other`. Measured: by reading; the module is private and no test reaches 500 labels.

--- a/wigeongate/src/entry/metrics.rs
+++ b/wigeongate/src/entry/metrics.rs
@@ -13,7 +13,7 @@
 /// The number of significant digits that a histogram keeps of a value.
 const SIGNIFICANT_DIGITS: u8 = 2;
 
-/// The number of series of each kind from which on every event gets the label `other`.
+/// The number of series of each kind from which on events with a new label get the label `other`.
 const MAX_SERIES: usize = 500;
 
 type Histograms = HashMap<(&'static str, String), Histogram<u64>>;
@@ -41,9 +41,8 @@
     /// Increments the counter of a name and a label.
     pub fn count(&self, name: &'static str, label: &str) {
         let mut series = self.series();
-        let full = series.counts.len() >= MAX_SERIES;
-        let label = if full { "other" } else { label };
-        *series.counts.entry((name, label.to_owned())).or_default() += 1;
+        let key = series_key(&series.counts, name, label);
+        *series.counts.entry(key).or_default() += 1;
     }
 
     /// Sets a gauge.
@@ -92,16 +91,27 @@
     }
 }
 
+/// Returns the key of a series; a new one beyond the bound is that of the label `other`.
+fn series_key<T>(
+    series: &HashMap<(&'static str, String), T>,
+    name: &'static str,
+    label: &str,
+) -> (&'static str, String) {
+    let key = (name, label.to_owned());
+    if series.len() < MAX_SERIES || series.contains_key(&key) {
+        key
+    } else {
+        (name, "other".to_owned())
+    }
+}
+
 fn record(histograms: &mut Histograms, name: &'static str, label: &str, value: u64) {
-    let full = histograms.len() >= MAX_SERIES;
-    let label = if full { "other" } else { label };
-    let histogram = histograms
-        .entry((name, label.to_owned()))
-        .or_insert_with(|| {
-            Histogram::new_with_max(MAX_VALUE, SIGNIFICANT_DIGITS).unwrap_or_else(|_| {
-                Histogram::new(SIGNIFICANT_DIGITS).expect("two digits are supported")
-            })
-        });
+    let key = series_key(histograms, name, label);
+    let histogram = histograms.entry(key).or_insert_with(|| {
+        Histogram::new_with_max(MAX_VALUE, SIGNIFICANT_DIGITS).unwrap_or_else(|_| {
+            Histogram::new(SIGNIFICANT_DIGITS).expect("two digits are supported")
+        })
+    });
     histogram.saturating_record(value);
 }
 
