Judge the loss of many hosts at once without comparing all with all

Cause: the rate of unexplained crashes looked up each silent host in the list of losses by scanning it, once or more for each host that is judged: the cube of the hosts in one tick when all lose power together. And every placement pass looked for delayed work, at all hosts for each late step that has no room, although only the placement of suspects depends on it. Change: a set of the lost hosts; no search for delayed work while no job and no queue is suspected. Measured: 103 workflow tests pass, among them those of group losses and retrials; the results are the same by construction, and no test counts the comparisons.

--- a/wigeongate-core/src/workflow/evidence.rs
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -287,10 +287,11 @@
             !loss.explained && loss.service == host.entry.service && is_other(&loss.host)
         });
         let mut lost: Vec<(Millis, &ZoneId)> = losses.map(|loss| (loss.at, &loss.zone)).collect();
+        let known: HashSet<&HostId> = self.losses.iter().map(|loss| &loss.host).collect();
         // Silent hosts may have crashed as well.
         let silent = fleet().filter(|other| other.blame.is_none() && is_other(&other.entry.id));
         lost.extend(silent.filter_map(|other| {
-            let is_known = self.losses.iter().any(|loss| loss.host == other.entry.id);
+            let is_known = known.contains(&other.entry.id);
             let failing = other
                 .failing
                 .filter(|_| !is_known && !other.entry.draining)?;
--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -204,6 +204,11 @@
         }
     }
 
+    /// Returns whether any job or queue may be suspected.
+    pub(super) fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty() || !self.isolation.queues.is_empty()
+    }
+
     /// Returns how long the jobs of a suspected queue are on trial.
     pub(super) fn queue_trial_ms(&self, job: &Workflow) -> Option<u64> {
         let record = self.isolation.queues.get(&job.queue)?;
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -109,7 +109,11 @@
             .filter_map(|step| self.sort_key(*step, now))
             .collect();
         steps.sort_unstable();
-        self.find_delayed(&steps, now);
+        // Only steps of suspected jobs are placed by what else is delayed, and the search may look at
+        // every host for each late step.
+        if self.has_suspects() {
+            self.find_delayed(&steps, now);
+        }
         let (mut tried, mut tried_late) = (0, 0);
         for (turn, _, _, step, rank) in steps {
             if tried >= MAX_STEPS {
