Compare the listed hosts with the registry by a set

Cause: each change of the registry, up to five a second, compared every known host with every entry. Change: a set of the listed identifiers.

--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
-use wigeongate_core::collections::HashMap;
+use wigeongate_core::collections::{HashMap, HashSet};
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
@@ -495,10 +495,11 @@
     /// Opens links to new executors, updates addresses and drops links to forgotten ones.
     fn update_hosts(&mut self, list: Vec<HostEntry>) {
         let now = self.shared.now();
+        let listed: HashSet<&HostId> = list.iter().map(|entry| &entry.id).collect();
         let gone: Vec<(HostId, bool)> = self
             .scheduler
             .hosts()
-            .filter(|(host, listed)| *listed && !list.iter().any(|entry| entry.id == host.id))
+            .filter(|(host, was_listed)| *was_listed && !listed.contains(&host.id))
             .map(|(host, _)| (host.id.clone(), host.draining))
             .collect();
         for (id, draining) in gone {
