Handle a bounded number of events in a turn of the owner's loop

Cause: the loop handled queued events until none was left, without a pause in which the task that renews the lease could run; after a restore or a pause of the process thousands wait. Reads of callers that had given up were answered first, and cancellations of such callers were kept until the log could be written. Change: at most 256 events between two chances to renew the lease and, outside of ticks, to place tasks. A tick still sees every event before it, with no pause between the last one and the tick. Reads whose callers have gone are dropped. The gauge `events_queued` shows how many waited at a tick.

--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -6,6 +6,7 @@
 
 use eyre::Result;
 use tokio::sync::{mpsc, oneshot};
+use tokio::task::yield_now;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
 use wigeongate_core::collections::{HashMap, HashSet};
@@ -43,6 +44,9 @@
 /// executors need most of the processor time.
 const PASS_REST_FACTOR: u32 = 4;
 
+/// The most events that are handled in one turn, after which the lease may be renewed.
+const MAX_EVENTS: usize = 256;
+
 /// The number of other gates that are asked to take over at a time; the store may refuse the calls
 /// of a third of all gates.
 const YIELD_CANDIDATES: usize = 3;
@@ -175,15 +179,15 @@
                 event = receiver.recv() => {
                     let Some(event) = event else { break };
                     self.handle_event(event, &mut actions);
-                    while let Ok(event) = receiver.try_recv() {
-                        self.handle_event(event, &mut actions);
-                    }
+                    self.handle_queued(&mut receiver, &mut actions);
                 }
                 _ = ticks.tick() => {
+                    let queued = u64::try_from(receiver.len()).unwrap_or(u64::MAX);
+                    self.shared.metrics.set_gauge("events_queued", queued);
                     // A tick ends what has expired, so it must see every event before it: after a
                     // pause of the process, reports and sent polls are still queued.
-                    while let Ok(event) = receiver.try_recv() {
-                        self.handle_event(event, &mut actions);
+                    while self.handle_queued(&mut receiver, &mut actions) {
+                        yield_now().await;
                     }
                     self.check_views();
                     let age_ms = self.registry_age().0;
@@ -217,10 +221,28 @@
                 self.execute(action);
             }
             self.write_log();
+            if !receiver.is_empty() {
+                yield_now().await;
+            }
         }
         Ok(())
     }
 
+    /// Handles events that are queued; returns whether more may be.
+    fn handle_queued(
+        &mut self,
+        receiver: &mut mpsc::UnboundedReceiver<OwnerEvent>,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        for _ in 0..MAX_EVENTS {
+            let Ok(event) = receiver.try_recv() else {
+                return false;
+            };
+            self.handle_event(event, actions);
+        }
+        true
+    }
+
     /// Asks several other gates to take over, since a gate whose calls the store refuses as well
     /// cannot become the owner.
     fn yield_ownership(&self) {
@@ -449,6 +471,14 @@
         actions: &mut Vec<Action>,
     ) {
         let now = self.shared.now();
+        let is_read = matches!(
+            call,
+            PeerCall::State(_) | PeerCall::Pending(_) | PeerCall::Outlook(..)
+        );
+        if is_read && answer.is_closed() {
+            // Its caller has given up while the owner was busy.
+            return;
+        }
         let reply = match call {
             PeerCall::Hello(gate, address) => {
                 let gates = self.scheduler.advice_gates_mut();
@@ -480,6 +510,8 @@
                     }
                     info!(job = %id, record = number,
                         "owner: job cancelled; the caller is answered when the record is written.");
+                    self.pending_cancels
+                        .retain(|(_, earlier)| !earlier.is_closed());
                     self.pending_cancels.push((number, answer));
                     return;
                 } else {
