--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -277,8 +277,7 @@
         };
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
             // The run may have been started by an owner that had not yet noticed its replacement.
-            let orphan_runs = self.orphan_runs.entry(name.step.job).or_default();
-            orphan_runs.push((id.clone(), key));
+            self.orphan_runs.add(id, key);
             return;
         };
         if let Some(team) = job.flow.team.clone() {
@@ -436,7 +435,7 @@
             }
         }
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
-            self.forget_orphan(id, key);
+            self.orphan_runs.remove(id, key);
             return;
         };
         let ended = job.end.is_some();
@@ -465,17 +464,6 @@
         }
     }
 
-    /// Forgets the run of an unknown job.
-    fn forget_orphan(&mut self, id: &HostId, key: RunKey) {
-        let job = key.0.step.job;
-        if let Some(runs) = self.orphan_runs.get_mut(&job) {
-            runs.retain(|(host, run)| host != id || *run != key);
-            if runs.is_empty() {
-                self.orphan_runs.remove(&job);
-            }
-        }
-    }
-
     fn finish_task(
         &mut self,
         key: RunKey,
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -13,6 +13,7 @@
 use super::job_counts::JobCounts;
 use super::log_compaction::JobFate;
 use super::message::{Action, Proof, StopOrder};
+use super::orphan_runs::OrphanRuns;
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
 use super::policies::Policies;
@@ -114,7 +115,7 @@
     /// Queues whose jobs crash their hosts.
     pub(super) isolation: Isolation,
     /// Runs reported for jobs that are not known yet, with their hosts.
-    pub(super) orphan_runs: HashMap<WorkflowId, Vec<(HostId, RunKey)>>,
+    pub(super) orphan_runs: OrphanRuns,
     /// Number of the newest record.
     pub(super) last_record: u64,
     /// Number of the newest record that has been written.
@@ -244,7 +245,7 @@
             return false;
         }
         self.counts.add(&queue);
-        for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
+        for (host, run) in self.orphan_runs.take(id) {
             self.attach(&host, run);
             if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
                 self.begin_job(id);
