--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -6,6 +6,7 @@
 use super::evidence::Evidence;
 use super::host::{Host, HostEntry, RunKey};
 use super::job::{Phase, WorkflowStatus};
+use super::job_counts::JobCounts;
 use super::message::Action;
 use super::scheduler::WorkflowScheduler;
 use super::spec::{StepId, TaskName, Workflow, WorkflowId};
@@ -96,10 +97,10 @@
 
 impl WorkflowScheduler {
     /// Adds a job that was accepted before this owner took over; `age` is the time since its
-    /// acceptance.
+    /// acceptance. Its steps are ready once the restore is finished, if its end is not in the log.
     pub fn restore(&mut self, flow: Workflow, now: Millis, age: Millis) {
         let id = flow.id;
-        self.submit(flow, now, age);
+        self.insert_job(flow, now, age);
         if let Some(job) = self.jobs.get_mut(&id) {
             job.inherited = true;
         }
@@ -123,7 +124,6 @@
                 job.end = Some(*status);
                 job.end_record = 0;
                 job.ended = now;
-                self.ready.retain(|step| step.job != id);
             }
             Record::Begun(_) => job.started = true,
             Record::Started(task, run, host) => self.log_run((*task, *run), host, 0),
@@ -300,6 +300,7 @@
     /// Begins to complete the restore, which [`Self::finish_portion`] goes on with. Nothing may be
     /// placed and no event applied until that has ended.
     pub fn begin_finish(&mut self) -> RestoreRest {
+        self.counts = JobCounts::of(self.jobs.values());
         let logged_runs = std::mem::take(&mut self.logged_runs);
         let mut newest: HashMap<HostId, u32> = HashMap::default();
         for run in logged_runs.values() {
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -10,8 +10,10 @@
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
+use super::job_counts::JobCounts;
 use super::log_compaction::JobFate;
 use super::message::{Action, Proof, StopOrder};
+use super::orphan_runs::OrphanRuns;
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
 use super::policies::Policies;
@@ -80,6 +82,8 @@
     pub(super) rules: Arc<Rules>,
     pub(super) hosts: HashMap<HostId, Host>,
     pub(super) jobs: HashMap<WorkflowId, Job>,
+    /// Counts of the open jobs; valid once the restore is finished.
+    pub(super) counts: JobCounts,
     /// Jobs that have begun and have no record of it yet.
     pub(super) begun: Vec<WorkflowId>,
     /// Steps with waiting tasks that may start.
@@ -111,7 +115,7 @@
     /// Queues whose jobs crash their hosts.
     pub(super) isolation: Isolation,
     /// Runs reported for jobs that are not known yet, with their hosts.
-    pub(super) orphan_runs: HashMap<WorkflowId, Vec<(HostId, RunKey)>>,
+    pub(super) orphan_runs: OrphanRuns,
     /// Number of the newest record.
     pub(super) last_record: u64,
     /// Number of the newest record that has been written.
@@ -149,6 +153,11 @@
     /// Applies a version of the configuration.
     pub fn configure(&mut self, rules: Arc<Rules>) {
         self.rules = rules;
+        let rules = &self.rules;
+        self.allowances
+            .retain(|team| rules.teams.contains_key(team));
+        self.advice_totals
+            .retain(|queue, _| rules.queues.contains_key(queue));
         self.dirty = true;
     }
 
@@ -229,7 +238,25 @@
     }
 
     /// Adds an accepted job and returns whether it is new; `age` is the time since its acceptance.
-    pub fn submit(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
+    pub fn submit(&mut self, flow: Workflow, now: Millis, age: Millis) -> bool {
+        let id = flow.id;
+        let queue = flow.queue.clone();
+        if !self.insert_job(flow, now, age) {
+            return false;
+        }
+        self.counts.add(&queue);
+        for (host, run) in self.orphan_runs.take(id) {
+            self.attach(&host, run);
+            if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
+                self.begin_job(id);
+            }
+        }
+        self.advance(id, now, &mut Vec::new());
+        true
+    }
+
+    /// Adds a job of which no step may start yet; returns whether it is new.
+    pub(super) fn insert_job(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
         let id = flow.id;
         if self.jobs.contains_key(&id) {
             return false;
@@ -246,13 +273,6 @@
         };
         self.apply_forecasts(&mut job);
         self.jobs.insert(id, job);
-        for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
-            self.attach(&host, run);
-            if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
-                self.begin_job(id);
-            }
-        }
-        self.advance(id, now, &mut Vec::new());
         true
     }
 
@@ -291,13 +311,23 @@
 
     /// Returns the number of accepted jobs of a queue that are not known to have started.
     pub fn queued_jobs(&self, queue: &QueueId) -> usize {
-        let waits = |job: &&Job| !job.started && job.end.is_none() && job.flow.queue == *queue;
-        self.jobs.values().filter(waits).count()
+        self.counts.queued(queue)
+    }
+
+    /// Returns the number of teams, queues and unknown jobs of which something is kept, with the names
+    /// of their gauges.
+    pub fn kept_sizes(&self) -> [(&'static str, usize); 4] {
+        [
+            ("kept_team_usages", self.usage.len()),
+            ("kept_team_allowances", self.allowances.len()),
+            ("kept_advice_shares", self.advice_totals.len()),
+            ("kept_unknown_jobs", self.orphan_runs.len()),
+        ]
     }
 
     /// Returns the number of jobs that have not ended.
-    pub fn open_jobs(&self) -> usize {
-        self.jobs.values().filter(|job| job.end.is_none()).count()
+    pub const fn open_jobs(&self) -> usize {
+        self.counts.open()
     }
 
     /// Handles that every record up to a number has been written: orders the starts and forgets the
@@ -353,7 +383,9 @@
     /// Forgets jobs that the store no longer holds.
     pub fn forget_jobs(&mut self, jobs: &[WorkflowId]) {
         for id in jobs {
-            self.jobs.remove(id);
+            if let Some(job) = self.jobs.remove(id).filter(|job| job.end.is_none()) {
+                self.counts.end(&job);
+            }
         }
     }
 
@@ -546,12 +578,15 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        if job.end.is_none() {
+            self.counts.end(job);
+        }
         job.end = Some(status);
         job.end_record = number;
         job.ended = now;
+        job.drop_run_state();
         let runs = job.runs();
-        self.ready.retain(|step| step.job != id);
-        self.due.retain(|(_, step)| step.job != id);
+        self.remove_steps(id);
         for (host, run) in runs {
             self.stop_run(&host, run, now, out);
         }
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info, warn};
-use wigeongate_core::collections::HashMap;
+use wigeongate_core::collections::{HashMap, HashSet};
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
@@ -182,6 +182,8 @@
                     self.drain_events(&mut receiver, &mut actions).await;
                 }
                 _ = ticks.tick() => {
+                    let queued = u64::try_from(receiver.len()).unwrap_or(u64::MAX);
+                    self.shared.metrics.set_gauge("events_queued", queued);
                     // A tick ends what has expired, so it must see every event before it: after a
                     // pause of the process, reports and sent polls are still queued.
                     self.drain_events(&mut receiver, &mut actions).await;
@@ -190,6 +192,14 @@
                     let metrics = &self.shared.metrics;
                     metrics.set_gauge("registry_age_ms", age_ms);
                     metrics.set_gauge("advice_waiting", self.scheduler.waiting_for_gate());
+                    for (name, size) in self.scheduler.kept_sizes() {
+                        metrics.set_gauge(name, u64::try_from(size).unwrap_or(u64::MAX));
+                    }
+                    let (ready, due) = self.scheduler.waiting_steps();
+                    let open = self.scheduler.open_jobs();
+                    metrics.set_gauge("jobs_open", u64::try_from(open).unwrap_or(u64::MAX));
+                    metrics.set_gauge("steps_ready", u64::try_from(ready).unwrap_or(u64::MAX));
+                    metrics.set_gauge("steps_due", u64::try_from(due).unwrap_or(u64::MAX));
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.waits.tick(&self.scheduler, &self.shared);
                     self.share_report.tick(&self.scheduler, &self.shared);
@@ -432,6 +442,14 @@
         actions: &mut Vec<Action>,
     ) {
         let now = self.shared.now();
+        let is_read = matches!(
+            call,
+            PeerCall::State(_) | PeerCall::Pending(_) | PeerCall::Outlook(..)
+        );
+        if is_read && answer.is_closed() {
+            // Its caller has given up while the owner was busy.
+            return;
+        }
         let reply = match call {
             PeerCall::Hello(gate, address) => {
                 let gates = self.scheduler.advice_gates_mut();
@@ -463,6 +481,8 @@
                     }
                     info!(job = %id, record = number,
                         "owner: job cancelled; the caller is answered when the record is written.");
+                    self.pending_cancels
+                        .retain(|(_, earlier)| !earlier.is_closed());
                     self.pending_cancels.push((number, answer));
                     return;
                 } else {
@@ -478,10 +498,11 @@
     /// Opens links to new executors, updates addresses and drops links to forgotten ones.
     fn update_hosts(&mut self, list: Vec<HostEntry>) {
         let now = self.shared.now();
+        let listed: HashSet<&HostId> = list.iter().map(|entry| &entry.id).collect();
         let gone: Vec<(HostId, bool)> = self
             .scheduler
             .hosts()
-            .filter(|(host, listed)| *listed && !list.iter().any(|entry| entry.id == host.id))
+            .filter(|(host, was_listed)| *was_listed && !listed.contains(&host.id))
             .map(|(host, _)| (host.id.clone(), host.draining))
             .collect();
         for (id, draining) in gone {
