Count a run of an unknown job as all of its host

Cause: a run that a host reports for a job that is not known has an unknown size and was adopted with none, so that its host got work for all of its capacity until the run had been stopped. Once ended jobs leave the owner's memory soon after their end, unknown jobs are no longer rare. Change: such a run claims the capacity of its host; a job that is submitted later gives it the size of its step. OrphanRuns holds these runs and forgets those that have ended, which stayed for ever. Measured: orphan_runs::a_run_of_an_unknown_job_uses_all_of_its_host failed with a claim of zero ("the run goes on": 4 starts, 0 wanted) and passes.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -22,6 +22,7 @@
 mod log_compaction;
 mod message;
 mod order_results;
+mod orphan_runs;
 mod placement_pass;
 mod planned_starts;
 mod policies;
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -336,6 +336,15 @@
         }
     }
 
+    /// Sets the size of a run's claim and whether the run lasts, once its step is known.
+    pub fn describe_claim(&mut self, run: RunKey, size: Resources, lasting: bool) {
+        if let Some(mut claim) = self.release(run) {
+            claim.size = size;
+            claim.lasting = lasting;
+            self.claim(run, claim);
+        }
+    }
+
     /// Removes and returns the claim of a run.
     pub fn release(&mut self, run: RunKey) -> Option<Claim> {
         let claim = self.claims.remove(&run)?;
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -196,7 +196,8 @@
                 let size = step.map(|step| step.spec.size).unwrap_or_default();
                 (size, job.end.is_none())
             }
-            None => (crate::resources::Resources::ZERO, false),
+            // Such a run may use all of its host.
+            None => (self.load(id).unwrap_or_default().0, false),
         };
         let claimed = self
             .hosts
@@ -275,8 +276,7 @@
         };
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
             // The run may have been started by an owner that had not yet noticed its replacement.
-            let orphan_runs = self.orphan_runs.entry(name.step.job).or_default();
-            orphan_runs.push((id.clone(), key));
+            self.orphan_runs.add(id, key);
             return;
         };
         if let Some(team) = job.flow.team.clone() {
@@ -431,6 +431,7 @@
             }
         }
         let Some(job) = self.jobs.get_mut(&name.step.job) else {
+            self.orphan_runs.remove(id, key);
             return;
         };
         let ended = job.end.is_some();
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -12,6 +12,7 @@
 use super::job::{Job, Phase, Step, WorkflowStatus};
 use super::log_compaction::JobFate;
 use super::message::{Action, Proof, StopOrder};
+use super::orphan_runs::OrphanRuns;
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
 use super::policies::Policies;
@@ -111,7 +112,7 @@
     /// Queues whose jobs crash their hosts.
     pub(super) isolation: Isolation,
     /// Runs reported for jobs that are not known yet, with their hosts.
-    pub(super) orphan_runs: HashMap<WorkflowId, Vec<(HostId, RunKey)>>,
+    pub(super) orphan_runs: OrphanRuns,
     /// Number of the newest record.
     pub(super) last_record: u64,
     /// Number of the newest record that has been written.
@@ -246,7 +247,13 @@
         };
         self.apply_forecasts(&mut job);
         self.jobs.insert(id, job);
-        for (host, run) in self.orphan_runs.remove(&id).unwrap_or_default() {
+        for (host, run) in self.orphan_runs.take(id) {
+            let step = self.jobs.get(&id).and_then(|job| job.step(run.0.step));
+            if let Some(spec) = step.map(|step| &step.spec)
+                && let Some(host) = self.hosts.get_mut(&host)
+            {
+                host.describe_claim(run, spec.size, spec.long_running);
+            }
             self.attach(&host, run);
             if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
                 self.begin_job(id);
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -17,6 +17,7 @@
 mod lone_owner;
 mod mixed_load;
 mod next_owner;
+mod orphan_runs;
 mod records;
 mod removed_queues;
 mod retention;
