--- a/wigeongate-core/tests/workflow/archive.rs
+++ b/wigeongate-core/tests/workflow/archive.rs
@@ -174,7 +174,7 @@
         },
         BacklogCase {
             jobs: 3_000,
-            within_ms: 10_000,
+            within_ms: 8_000,
         },
     ] {
         let mut scheduler = scheduler();
