--- a/wigeongate-core/src/workflow/orphan_runs.rs
+++ b/wigeongate-core/src/workflow/orphan_runs.rs
@@ -1,4 +1,5 @@
-//! Runs that hosts report for jobs that are not known, until these are submitted or the runs end.
+//! Runs that hosts report for jobs that are not known, until these are submitted or the runs end: the job
+//! may be archived, or not submitted yet.
 
 use super::host::RunKey;
 use super::spec::WorkflowId;
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -196,7 +196,8 @@
                 let size = step.map(|step| step.spec.size).unwrap_or_default();
                 (size, job.end.is_none())
             }
-            None => (crate::resources::Resources::ZERO, false),
+            // Such a run may use all of its host.
+            None => (self.load(id).unwrap_or_default().0, false),
         };
         let claimed = self
             .hosts
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -124,13 +124,17 @@
                 job.end = Some(*status);
                 job.end_record = 0;
                 job.ended = now;
+                self.recent_ends.push((now, id));
             }
             Record::Begun(_) => job.started = true,
             Record::Started(task, run, host) => self.log_run((*task, *run), host, 0),
             Record::StartedOn(task, run, host, boot_ms) => {
                 self.log_run((*task, *run), host, *boot_ms);
             }
-            Record::Lost(task, run) => self.log_loss((*task, *run)),
+            Record::Lost(task, run) => {
+                job.lost_runs = true;
+                self.log_loss((*task, *run));
+            }
             Record::Released(task, run) => {
                 self.logged_runs.remove(&(*task, *run));
             }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -1,6 +1,7 @@
 //! Runs jobs of several steps on fake executors: single cases, and random workloads with faults.
 
 mod advice;
+mod archive;
 mod bad_queues;
 mod begun_jobs;
 mod capacity;
@@ -18,6 +19,7 @@
 mod lone_owner;
 mod mixed_load;
 mod next_owner;
+mod orphan_runs;
 mod records;
 mod removed_queues;
 mod retention;
