Refuse jobs while no owner can restore

Cause: each gate that took over a large state lost its lease before it had restored it, and none learnt from the one before; meanwhile jobs were let in that nobody started and that made the next restore longer. Change: an owner writes `wigeongate/restored` with its epoch after its restore. A gate that takes over counts the epochs since then into its owner record (a trailing field; records without it are still decoded). From three on, a warning and a gauge name the count, and gates refuse new jobs with 503 and Retry-After after a look whether they are stored, until the owner of the newest epoch has answered a call, or `restored` names it where the gate cannot reach it. A missing `restored`, as on a store of an earlier version, is written with the next takeover, and the count begins there. A read that fails is named as the step in which the takeover was lost.

--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -17,6 +17,7 @@
 mod launch;
 mod listen;
 mod log;
+mod lost_takeovers;
 mod metrics;
 mod owner;
 mod owner_event;
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -190,6 +190,13 @@
             accepted: wall_ms(),
             spec: Arc::new(spec),
         };
+        if self.shared.lost_takeovers.refuse_jobs()
+            && let Some(reply) = self
+                .refuse_unless_stored(&flow, || self.refuse_unserved(&flow))
+                .await
+        {
+            return reply;
+        }
         let mut admitted = None;
         if let Some(admission) = &self.admission {
             let decision = admission.decide(&flow);
@@ -215,8 +222,6 @@
     }
 
     /// Refuses a job if that was decided and it is not stored; `None` if it takes the normal path.
-    ///
-    /// An earlier attempt may have stored it without an answer that reached the caller.
     async fn refuse(
         &self,
         admission: &Admission,
@@ -224,6 +229,31 @@
         decision: &Decision,
     ) -> Option<Reply> {
         let refusal = decision.refusal.as_ref()?;
+        let refuse = || {
+            let seconds = refusal.retry_after(rand::random());
+            admission.record_refusal(flow, refusal, seconds);
+            refused(refusal.reason, seconds)
+        };
+        self.refuse_unless_stored(flow, refuse).await
+    }
+
+    /// Refuses a job that no owner would start.
+    fn refuse_unserved(&self, flow: &Workflow) -> Reply {
+        let label = format!("{} no restore", flow.queue);
+        self.shared.metrics.count("refusals", &label);
+        info!(job = %flow.id, queue = %flow.queue, in_a_row = self.shared.lost_takeovers.count(),
+            "callers: job refused; no owner restores the state.");
+        retry_later(StatusCode::SERVICE_UNAVAILABLE)
+    }
+
+    /// Refuses a job if it is not stored; `None` if that cannot be looked up and it takes the normal path.
+    ///
+    /// An earlier attempt may have stored it without an answer that reached the caller.
+    async fn refuse_unless_stored(
+        &self,
+        flow: &Workflow,
+        refuse: impl FnOnce() -> Reply,
+    ) -> Option<Reply> {
         let lookup = Duration::from_millis(REFUSAL_LOOKUP_MS);
         let stored = match timeout(lookup, self.read_job(flow.id)).await {
             Ok(stored) => stored,
@@ -235,11 +265,7 @@
                 info!(job = %flow.id, "callers: job was stored already.");
                 Some(empty_reply(StatusCode::OK))
             }
-            Ok(None) => {
-                let seconds = refusal.retry_after(rand::random());
-                admission.record_refusal(flow, refusal, seconds);
-                Some(refused(refusal.reason, seconds))
-            }
+            Ok(None) => Some(refuse()),
             Err(error) => {
                 info!(job = %flow.id, error = format!("{error:#}"),
                     "callers: the job to refuse cannot be looked up; it is not refused.");
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -23,6 +23,7 @@
 use super::hosts::HostLink;
 use super::job_watch;
 use super::log::Log;
+use super::lost_takeovers::write_restored;
 use super::owner_event::{OwnerEvent, OwnerHandle};
 use super::ownership::Permits;
 use super::peers::{self, PeerAnswer, PeerCall};
@@ -54,6 +55,8 @@
     shared: Arc<Shared>,
     advice_client: Arc<AdviceClient>,
     epoch: u64,
+    /// The revision of the owner key, which is the condition of each write.
+    revision: u64,
     /// When this owner took over.
     began: Millis,
     /// Whether orders may be sent; stays true for longer than `lease_current` while the store does
@@ -128,6 +131,7 @@
             shared,
             advice_client,
             epoch,
+            revision,
             began: now,
             orders_allowed: Arc::clone(&permits.orders_allowed),
             lease_current: Arc::clone(&permits.lease_current),
@@ -312,6 +316,12 @@
         self.progress
             .end(RestoreStep::NoteBatches, self.shared.now());
         self.progress.finish(self.shared.now());
+        self.shared.record_restored(self.epoch);
+        let (shared, events) = (Arc::clone(&self.shared), self.events.clone());
+        let (epoch, revision) = (self.epoch, self.revision);
+        tokio::spawn(async move {
+            write_restored(&shared, &events, epoch, revision).await;
+        });
         let took_ms = self.shared.now().since(self.began).0;
         let metrics = &self.shared.metrics;
         metrics.set_gauge("restore_ms", took_ms);
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -14,9 +14,11 @@
 use wigeongate_platform::store::{Change, Item, Txn, TxnOutcome};
 
 use super::advice::AdviceClient;
+use super::lost_takeovers::read_restored;
 use super::owner::Owner;
 use super::peers::{self, PeerCall};
-use super::records::{EPOCH_KEY, OWNER_KEY, OwnerRecord, decode, encode};
+use super::records;
+use super::records::{EPOCH_KEY, OWNER_KEY, OwnerRecord, RESTORED_KEY, decode, encode};
 use super::restore_progress::RestoreProgress;
 use super::shared::Shared;
 
@@ -101,7 +103,7 @@
 }
 
 fn decode_owner(item: &Item) -> Option<OwnerRecord> {
-    decode(OWNER_KEY, &item.value)
+    records::decode_owner(item)
         .inspect_err(|error| {
             warn!(
                 error = format!("{error:#}"),
@@ -124,6 +126,9 @@
         let is_changed = *shared.owner.borrow() != view.owner;
         if is_changed {
             info!(owner = ?view.owner, revision = view.revision, "ownership: the owner changed.");
+            if let Some(owner) = &view.owner {
+                shared.record_owner(owner);
+            }
             shared.owner.send_replace(view.owner.clone());
         }
         let Some(owner) = &view.owner else {
@@ -265,7 +270,7 @@
 
 /// Tries to become the owner; returns `None` if another gate came first.
 async fn claim_ownership(shared: &Shared, process: u64) -> Result<Option<Ownership>> {
-    let item = shared.store.get(EPOCH_KEY).await?;
+    let (item, restored) = tokio::try_join!(shared.store.get(EPOCH_KEY), read_restored(shared))?;
     let (last, epoch_revision): (u64, u64) = match &item {
         Some(item) => (decode(EPOCH_KEY, &item.value)?, item.revision),
         None => (0, 0),
@@ -281,8 +286,11 @@
         gate: shared.settings.gate.clone(),
         address: shared.settings.peer.to_string(),
         process,
+        lost: restored.map_or(0, |restored| {
+            u32::try_from(last.saturating_sub(restored)).unwrap_or(u32::MAX)
+        }),
     };
-    let txn = Txn {
+    let mut txn = Txn {
         expected: vec![
             (OWNER_KEY.to_owned(), 0),
             (EPOCH_KEY.to_owned(), epoch_revision),
@@ -293,6 +301,10 @@
         ],
         removes: Vec::new(),
     };
+    if restored.is_none() {
+        // Lost takeovers count from now on.
+        txn.puts.push((RESTORED_KEY.to_owned(), encode(&last), 0));
+    }
     match shared.store.commit(&txn).await {
         Ok(TxnOutcome::Done(revision)) => Ok(Some(Ownership {
             record,
@@ -319,6 +331,7 @@
         return Ok(false);
     };
     let (epoch, lease) = (ownership.record.epoch, ownership.lease);
+    shared.record_owner(&ownership.record);
     shared.owner.send_replace(Some(ownership.record.clone()));
     let task_lease = Millis(shared.settings.bounds.task_lease_ms);
     let permits = Permits::new(task_lease, ownership.sent);
@@ -373,6 +386,7 @@
         epoch = ownership.record.epoch,
         %step,
         cause,
+        in_a_row = ownership.record.lost.saturating_add(1),
         owned_ms = shared.now().since(ownership.sent).0,
         steps = %progress,
         "ownership: lost before the state was restored."
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -17,6 +17,7 @@
 
 use super::advice::AdviceClient;
 use super::listen::{Reply, read_body};
+use super::lost_takeovers::read_restored;
 use super::ready::empty_reply;
 use super::records::{decode, encode};
 use super::shared::Shared;
@@ -117,6 +118,10 @@
         return Ok(PeerAnswer::NotOwner);
     };
     let answer = call(shared, &owner.address, &request, 0).await;
+    if matches!(&answer, Ok(answer) if *answer != PeerAnswer::NotOwner) {
+        // An owner answers nothing before that.
+        shared.record_restored(owner.epoch);
+    }
     if let Err(error) = &answer
         && let Some(CallError::NotSent { refused: true, .. }) = error.downcast_ref()
     {
@@ -189,5 +194,11 @@
                 "peers: registering with the owner failed; trying again."
             );
         }
+        if !greeted && shared.lost_takeovers.refuse_jobs() {
+            // A cut between the two gates is no reason to refuse jobs.
+            if let Ok(Some(epoch)) = read_restored(&shared).await {
+                shared.record_restored(epoch);
+            }
+        }
     }
 }
--- a/wigeongate/src/entry/records.rs
+++ b/wigeongate/src/entry/records.rs
@@ -17,6 +17,9 @@
 /// The key of the last epoch's number.
 pub const EPOCH_KEY: &str = "wigeongate/epoch";
 
+/// The key of the newest epoch whose owner has restored the state of earlier owners.
+pub const RESTORED_KEY: &str = "wigeongate/restored";
+
 /// The key prefix of accepted jobs.
 pub const JOBS_PREFIX: &str = "wigeongate/job/";
 
@@ -37,6 +40,29 @@
     pub address: String,
     /// A random number that identifies one process of a gate.
     pub process: u64,
+    /// The number of takeovers in a row before this one that were lost before the state was restored.
+    pub lost: u32,
+}
+
+/// The record of an owner as stored by versions that did not count lost takeovers.
+#[derive(Debug, Deserialize)]
+struct OwnerWithoutLost {
+    epoch: u64,
+    gate: GateId,
+    address: String,
+    process: u64,
+}
+
+impl From<OwnerWithoutLost> for OwnerRecord {
+    fn from(owner: OwnerWithoutLost) -> Self {
+        Self {
+            epoch: owner.epoch,
+            gate: owner.gate,
+            address: owner.address,
+            process: owner.process,
+            lost: 0,
+        }
+    }
 }
 
 /// A batch of the log.
@@ -117,6 +143,14 @@
     })
 }
 
+/// Decodes the record of an owner.
+pub fn decode_owner(item: &Item) -> Result<OwnerRecord> {
+    decode(&item.key, &item.value).or_else(|error| {
+        let older: Result<OwnerWithoutLost> = decode(&item.key, &item.value);
+        older.map(OwnerRecord::from).map_err(|_| error)
+    })
+}
+
 /// Decodes a postcard value; `key` names it in the error.
 pub fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T> {
     postcard::from_bytes(bytes).wrap_err_with(|| format!("decoding {key}"))
--- a/wigeongate/src/entry/restore.rs
+++ b/wigeongate/src/entry/restore.rs
@@ -146,6 +146,9 @@
             self.progress.add(step, size);
         };
         let read = self.shared.store.range_pages(prefix, on_page).await;
+        if read.is_err() {
+            self.progress.fail(step);
+        }
         let read =
             read.wrap_err_with(|| format!("{step}, after {items} items in {pages} pages"))?;
         self.end(step, StepSize::default());
--- a/wigeongate/src/entry/restore_progress.rs
+++ b/wigeongate/src/entry/restore_progress.rs
@@ -89,6 +89,7 @@
 #[derive(Debug, Default)]
 struct Progress {
     steps: [StepProgress; RestoreStep::ALL.len()],
+    failed: Option<RestoreStep>,
     restored: Option<Millis>,
 }
 
@@ -119,7 +120,12 @@
         self.progress().steps[step as usize].ended = Some(now);
     }
 
-    /// Ends the restore.
+    /// Ends the restore in a step that has failed.
+    pub fn fail(&self, step: RestoreStep) {
+        self.progress().failed.get_or_insert(step);
+    }
+
+    /// Ends the restore with the state restored.
     pub fn finish(&self, now: Millis) {
         self.progress().restored = Some(now);
     }
@@ -129,9 +135,12 @@
         self.progress().restored
     }
 
-    /// Returns the step that the restore is in or has just ended, the first one if several go on beside each other.
+    /// Returns the step that has failed, or that the restore is in or has just ended, the first one if several go on beside each other.
     pub fn current(&self) -> RestoreStep {
-        let steps = self.progress().steps;
+        let (steps, failed) = {
+            let progress = self.progress();
+            (progress.steps, progress.failed)
+        };
         let is_open = |step: &RestoreStep| {
             let step = &steps[*step as usize];
             step.began.is_some() && step.ended.is_none()
@@ -139,7 +148,7 @@
         let has_begun = |step: &RestoreStep| steps[*step as usize].began.is_some();
         let open = RestoreStep::ALL.into_iter().find(is_open);
         let last = RestoreStep::ALL.into_iter().rfind(has_begun);
-        open.or(last).unwrap_or(RestoreStep::ReadJobs)
+        failed.or(open).or(last).unwrap_or(RestoreStep::ReadJobs)
     }
 
     /// Sets the gauges of the time and the size of each step that has ended.
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -5,12 +5,14 @@
 
 use arc_swap::ArcSwap;
 use tokio::sync::{Notify, watch};
+use tracing::{info, warn};
 use wigeongate_config::entry::EntrySettings;
 use wigeongate_core::time::Millis;
 use wigeongate_platform::http::HttpClient;
 use wigeongate_platform::manifest::{Manifest, RequestLimits};
 use wigeongate_platform::store::Store;
 
+use super::lost_takeovers::LostTakeovers;
 use super::metrics::EntryMetrics;
 use super::owner_event::OwnerHandle;
 use super::records::OwnerRecord;
@@ -62,6 +64,8 @@
     pub owner_refusing: Notify,
     /// The requests of owners to be replaced.
     pub owner_yields: YieldRequests,
+    /// The takeovers that were lost before the state was restored.
+    pub lost_takeovers: LostTakeovers,
     /// Counters and durations.
     pub metrics: EntryMetrics,
     /// When the last answered read of the configuration was sent, in milliseconds of `clock`.
@@ -85,6 +89,7 @@
             local_handle: Mutex::new(None),
             owner_refusing: Notify::new(),
             owner_yields: YieldRequests::default(),
+            lost_takeovers: LostTakeovers::default(),
             metrics: EntryMetrics::default(),
             confirmed_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -122,6 +127,32 @@
         self.configuration_age().0 <= bound
     }
 
+    /// Records a new owner, with the takeovers that were lost before it.
+    pub fn record_owner(&self, owner: &OwnerRecord) {
+        self.lost_takeovers.record_owner(owner);
+        let in_a_row = self.lost_takeovers.count();
+        self.metrics
+            .set_gauge("lost_takeovers", u64::from(in_a_row));
+        if self.lost_takeovers.refuse_jobs() {
+            warn!(
+                epoch = owner.epoch,
+                in_a_row,
+                "ownership: no owner restores the state; jobs are refused until one does."
+            );
+        }
+    }
+
+    /// Records that the owner of an epoch has restored the state.
+    pub fn record_restored(&self, epoch: u64) {
+        if self.lost_takeovers.record_restored(epoch) {
+            self.metrics.set_gauge("lost_takeovers", 0);
+            info!(
+                epoch,
+                "ownership: the state is restored after takeovers that were lost."
+            );
+        }
+    }
+
     /// Returns the limits on requests that are in force.
     pub fn request_limits(&self) -> RequestLimits {
         let manifest = self.manifest.load();
--- a/wigeongate/tests/entry/gate.rs
+++ b/wigeongate/tests/entry/gate.rs
@@ -171,6 +171,15 @@
         .await;
     }
 
+    /// Returns the gate's metrics; empty if they cannot be read.
+    pub async fn metrics(&self) -> String {
+        let url = format!("http://{}/", self.metrics);
+        match client_trusting_system().get(&url).send().await {
+            Ok(answer) => answer.text().await.unwrap_or_default(),
+            Err(_) => String::new(),
+        }
+    }
+
     pub fn signal(&self, signal: nix::sys::signal::Signal) {
         let id = i32::try_from(self.process.id()).expect("a process id");
         nix::sys::signal::kill(nix::unistd::Pid::from_raw(id), signal).expect("a signal");
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -8,6 +8,7 @@
 #[expect(dead_code, reason = "other tests use more of it")]
 mod gate;
 mod limits;
+mod lost_takeovers;
 mod outages;
 mod platform;
 mod restarts;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -140,6 +140,8 @@
     RefusesRenewals,
     /// The same, and the store no longer has the changes of jobs.
     RefusesRenewalsWithoutHistory,
+    /// The store answers 503 to reads of the log.
+    RefusesLog,
 }
 
 impl StoreFault {
@@ -282,6 +284,10 @@
         if fault.refuses_renewals() && path.starts_with("/api/kv-keep/") {
             return reply(503, &json!({}));
         }
+        let is_log_read = path == "/api/kv-range" && query["prefix"].contains("/log/");
+        if fault == StoreFault::RefusesLog && is_log_read {
+            return reply(503, &json!({}));
+        }
         match (method, path) {
             ("GET", "/api/kv-key") => self.get(&query),
             ("GET", "/api/kv-range") => self.range(&query),
--- a/wigeongate/tests/message_bytes.rs
+++ b/wigeongate/tests/message_bytes.rs
@@ -77,6 +77,7 @@
             gate: GateId::from("gate-1"),
             address: "127.0.0.1:80".to_owned(),
             process: 99,
+            lost: 3,
         }),
     ]
 }
