Count a takeover as restored once the store has confirmed it

Cause: found by a trial: an owner whose lease had ended during its restore came to the end of it all the same, counted itself as restored and let its gate accept jobs, and no line said that the takeover was lost. Change: the takeover counts once the store has carried out the write of `restored`, which rests on the owner key; until then it is in a last step, `confirm`.

--- a/wigeongate/src/entry/lost_takeovers.rs
+++ b/wigeongate/src/entry/lost_takeovers.rs
@@ -1,16 +1,17 @@
 //! Knows whether takeovers of late were lost before the state was restored. Then no gate can say when a job
 //! would start, and further jobs only make the next restore longer.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::time::sleep;
 use tracing::info;
-use wigeongate_platform::store::{StoreError, Txn};
+use wigeongate_platform::store::{StoreError, Txn, TxnOutcome};
 
 use super::owner_event::OwnerEvent;
 use super::records::{OWNER_KEY, OwnerRecord, RESTORED_KEY, decode, encode};
+use super::restore_progress::{RestoreProgress, RestoreStep};
 use super::shared::Shared;
 
 /// The number of takeovers in a row that were lost before their restore, from which on jobs are refused
@@ -75,10 +76,12 @@
 }
 
 /// Writes that the owner of an epoch has restored the state, with retries until another gate is the owner;
-/// `revision` is that of its owner key.
+/// `revision` is that of its owner key. A lease may have ended during the restore without the owner's
+/// knowledge, so that the takeover counts as restored once the store has confirmed this.
 pub async fn write_restored(
-    shared: &Shared,
-    events: &mpsc::UnboundedSender<OwnerEvent>,
+    shared: Arc<Shared>,
+    events: mpsc::UnboundedSender<OwnerEvent>,
+    progress: Arc<RestoreProgress>,
     epoch: u64,
     revision: u64,
 ) {
@@ -87,8 +90,15 @@
         puts: vec![(RESTORED_KEY.to_owned(), encode(&epoch), 0)],
         removes: Vec::new(),
     };
+    progress.begin(RestoreStep::Confirm, shared.now());
     while !events.is_closed() {
         match shared.store.commit(&txn).await {
+            Ok(TxnOutcome::Done(_)) => {
+                progress.end(RestoreStep::Confirm, shared.now());
+                shared.metrics.count("takeovers", "restored");
+                shared.record_restored(epoch);
+                return;
+            }
             Ok(_) => return,
             Err(error) => {
                 info!(%error, epoch,
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -316,16 +316,16 @@
         self.progress
             .end(RestoreStep::NoteBatches, self.shared.now());
         self.progress.finish(self.shared.now());
-        self.shared.record_restored(self.epoch);
-        let (shared, events) = (Arc::clone(&self.shared), self.events.clone());
-        let (epoch, revision) = (self.epoch, self.revision);
-        tokio::spawn(async move {
-            write_restored(&shared, &events, epoch, revision).await;
-        });
+        tokio::spawn(write_restored(
+            Arc::clone(&self.shared),
+            self.events.clone(),
+            Arc::clone(&self.progress),
+            self.epoch,
+            self.revision,
+        ));
         let took_ms = self.shared.now().since(self.began).0;
         let metrics = &self.shared.metrics;
         metrics.set_gauge("restore_ms", took_ms);
-        metrics.count("takeovers", "restored");
         self.progress.report(metrics);
         info!(
             epoch = self.epoch,
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -361,7 +361,7 @@
     permits.orders_allowed.store(false, Ordering::Relaxed);
     shared.set_local_owner(None);
     shared.owner.send_replace(None);
-    if progress.restored().is_none() {
+    if !progress.is_confirmed() {
         let error = result.as_ref().err().map(|error| format!("{error:#}"));
         let cause = error.as_deref().unwrap_or(cause);
         report_lost(shared, &ownership, &progress, cause);
@@ -378,7 +378,7 @@
     result.map(|()| true)
 }
 
-/// Logs and counts a takeover that was lost before the state was restored.
+/// Logs and counts a takeover that was lost before the store had confirmed the restore.
 fn report_lost(shared: &Shared, ownership: &Ownership, progress: &RestoreProgress, cause: &str) {
     let step = progress.current();
     shared.metrics.count("takeovers", &step.to_string());
--- a/wigeongate/src/entry/restore_progress.rs
+++ b/wigeongate/src/entry/restore_progress.rs
@@ -35,10 +35,13 @@
     /// The batches of the log are noted for their removal, and what was decided is carried out.
     #[display("note batches")]
     NoteBatches,
+    /// The store is asked to confirm that the gate is still the owner, now that the state is restored.
+    #[display("confirm")]
+    Confirm,
 }
 
 impl RestoreStep {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::ReadJobs,
         Self::ReadLog,
         Self::ReadRunTimes,
@@ -47,6 +50,7 @@
         Self::Replay,
         Self::Finish,
         Self::NoteBatches,
+        Self::Confirm,
     ];
 }
 
@@ -135,6 +139,12 @@
         self.progress().restored
     }
 
+    /// Returns whether the store has confirmed that the gate was still the owner then.
+    pub fn is_confirmed(&self) -> bool {
+        let steps = &self.progress().steps;
+        steps[RestoreStep::Confirm as usize].ended.is_some()
+    }
+
     /// Returns the step that has failed, or that the restore is in or has just ended, the first one if several go on beside each other.
     pub fn current(&self) -> RestoreStep {
         let (steps, failed) = {
