--- a/wigeongate/src/entry/restore_progress.rs
+++ b/wigeongate/src/entry/restore_progress.rs
@@ -35,10 +35,13 @@
     /// The batches of the log are noted for their removal, and what was decided is carried out.
     #[display("note batches")]
     NoteBatches,
+    /// The store is asked to confirm that the gate is still the owner, now that the state is restored.
+    #[display("confirm")]
+    Confirm,
 }
 
 impl RestoreStep {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 9] = [
         Self::ReadJobs,
         Self::ReadLog,
         Self::ReadRunTimes,
@@ -47,6 +50,7 @@
         Self::Replay,
         Self::Finish,
         Self::NoteBatches,
+        Self::Confirm,
     ];
 }
 
@@ -89,6 +93,7 @@
 #[derive(Debug, Default)]
 struct Progress {
     steps: [StepProgress; RestoreStep::ALL.len()],
+    failed: Option<RestoreStep>,
     restored: Option<Millis>,
 }
 
@@ -119,7 +124,12 @@
         self.progress().steps[step as usize].ended = Some(now);
     }
 
-    /// Ends the restore.
+    /// Ends the restore in a step that has failed.
+    pub fn fail(&self, step: RestoreStep) {
+        self.progress().failed.get_or_insert(step);
+    }
+
+    /// Ends the restore with the state restored.
     pub fn finish(&self, now: Millis) {
         self.progress().restored = Some(now);
     }
@@ -129,9 +139,18 @@
         self.progress().restored
     }
 
-    /// Returns the step that the restore is in or has just ended, the first one if several go on beside each other.
+    /// Returns whether the store has confirmed that the gate was still the owner then.
+    pub fn is_confirmed(&self) -> bool {
+        let steps = &self.progress().steps;
+        steps[RestoreStep::Confirm as usize].ended.is_some()
+    }
+
+    /// Returns the step that has failed, or that the restore is in or has just ended, the first one if several go on beside each other.
     pub fn current(&self) -> RestoreStep {
-        let steps = self.progress().steps;
+        let (steps, failed) = {
+            let progress = self.progress();
+            (progress.steps, progress.failed)
+        };
         let is_open = |step: &RestoreStep| {
             let step = &steps[*step as usize];
             step.began.is_some() && step.ended.is_none()
@@ -139,7 +158,7 @@
         let has_begun = |step: &RestoreStep| steps[*step as usize].began.is_some();
         let open = RestoreStep::ALL.into_iter().find(is_open);
         let last = RestoreStep::ALL.into_iter().rfind(has_begun);
-        open.or(last).unwrap_or(RestoreStep::ReadJobs)
+        failed.or(open).or(last).unwrap_or(RestoreStep::ReadJobs)
     }
 
     /// Sets the gauges of the time and the size of each step that has ended.
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -10,6 +10,7 @@
 mod gate;
 mod large_store;
 mod limits;
+mod lost_takeovers;
 mod outages;
 mod platform;
 mod restarts;
