Move jobs kept for their evidence at the rate of a backlog

Cause: jobs that are no longer kept for their evidence did not count as a backlog: of 512 that came due together, 345 were moved in 9 s, and nothing showed that their number is bounded. Change: they count, and a test plays 600 of them. Measured: archive::a_bounded_number_of_jobs_is_kept_for_their_evidence failed (jobs 89 to 433 in place of 89 to 600 within 9 s) and passes.

--- a/wigeongate-core/src/workflow/archive.rs
+++ b/wigeongate-core/src/workflow/archive.rs
@@ -115,7 +115,7 @@
         let rest = expired.len().min(limit - moves.len() * MOVE_ENTRIES);
         let left = expired.split_off(rest).len();
         let has_backlog = left >= limit / EXPIRED_DIVISOR
-            || (self.runs_known && self.due(now).nth(limit / MOVE_ENTRIES - 1).is_some());
+            || (self.runs_known && self.fills_transaction(limit / MOVE_ENTRIES, now));
         let pause = Millis(if has_backlog {
             BACKLOG_INTERVAL_MS
         } else {
@@ -152,6 +152,14 @@
         self.waiting.len() + self.kept.len()
     }
 
+    /// Returns whether at least `limit` jobs may be due.
+    fn fills_transaction(&self, limit: usize, now: Millis) -> bool {
+        let is_due = |(until, _): &&(Millis, WorkflowId)| *until <= now;
+        let kept = self.kept.iter().take_while(is_due).take(limit).count();
+        let excess = self.kept.len().saturating_sub(MAX_KEPT);
+        self.due(now).take(limit).count() + kept.max(excess) >= limit
+    }
+
     fn due(&self, now: Millis) -> impl Iterator<Item = WorkflowId> {
         let is_due = move |(due, _): &&(Millis, WorkflowId)| *due <= now;
         let due = self.waiting.iter().take_while(is_due);
--- a/wigeongate-core/tests/workflow/archive.rs
+++ b/wigeongate-core/tests/workflow/archive.rs
@@ -157,6 +157,26 @@
     })
 }
 
+/// Guards against jobs with evidence that pile up while the owner changes more often than each 30 s.
+#[test]
+fn a_bounded_number_of_jobs_is_kept_for_their_evidence() {
+    let mut scheduler = scheduler();
+    for id in 1..=600 {
+        scheduler.restore(flow(id, vec![step(1, CORE)], None), START, Millis::ZERO);
+        scheduler.replay(&Record::Lost(task(id, 0, 0), 1), START);
+        let end = Record::Ended(WorkflowId(id), WorkflowStatus::Completed);
+        scheduler.replay(&end, START);
+    }
+    scheduler.list_host(host(0, 8 * CORE), START);
+    report(&mut scheduler, 0, HostReport::default(), START);
+    let mut archive = Archive::default();
+    let early = moved(&mut archive, &mut scheduler, START, 9_000);
+    assert!(early.into_iter().eq(1..=88));
+    let later = START + Millis::from_secs(30);
+    let rest = moved(&mut archive, &mut scheduler, later, 9_000);
+    assert!(rest.into_iter().eq(89..=600));
+}
+
 /// A number of ended jobs, and how many transactions they take.
 struct BacklogCase {
     jobs: u64,
