Show the state of a job that its owner has just learnt of

Cause: a gate that submitted a job which the owner did not know showed it as queued, although it may have begun, or ended and been archived, since the gate read it. Change: the gate asks the owner again; without an answer the caller is told to come back.

--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -300,7 +300,11 @@
         match self.call_owner_retrying(PeerCall::State(id)).await {
             Some(PeerAnswer::State(Some(status))) => json(job_api::encode_state(status)),
             Some(PeerAnswer::State(None)) => match self.submit_unknown(id).await {
-                Ok(Standing::Open) => json(job_api::encode_state(WorkflowStatus::Queued)),
+                // It may have begun, or ended, since the owner did not know it.
+                Ok(Standing::Open) => match self.call_owner_retrying(PeerCall::State(id)).await {
+                    Some(PeerAnswer::State(Some(status))) => json(job_api::encode_state(status)),
+                    _ => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+                },
                 Ok(Standing::Ended(status)) => json(job_api::encode_state(status)),
                 Ok(Standing::Missing) => empty_reply(StatusCode::GONE),
                 Ok(Standing::Unknown) => retry_later(StatusCode::SERVICE_UNAVAILABLE),
