Return the jobs that a confirmed transaction has archived

Cause: the log has to let go of archived jobs, and was to compare all its jobs with the scheduler's. Change: Archive::finish and Archiver::finish return them; nothing uses the latter's yet. Measured: the nine tests of archive, retention and orphan_runs pass.

--- a/wigeongate-core/src/workflow/archive.rs
+++ b/wigeongate-core/src/workflow/archive.rs
@@ -132,19 +132,26 @@
         }))
     }
 
-    /// Ends the transaction in progress. Without a confirmation nothing has changed for the scheduler,
-    /// and the same jobs are moved again.
-    pub fn finish(&mut self, scheduler: &mut WorkflowScheduler, is_confirmed: bool, now: Millis) {
+    /// Ends the transaction in progress; returns the jobs that were moved. Without a confirmation nothing
+    /// has changed for the scheduler, and the same jobs are moved again.
+    pub fn finish(
+        &mut self,
+        scheduler: &mut WorkflowScheduler,
+        is_confirmed: bool,
+        now: Millis,
+    ) -> Vec<WorkflowId> {
         let Some(transfer) = self.current.take() else {
-            return;
+            return Vec::new();
         };
         let moves = transfer.moves.iter();
-        if is_confirmed {
-            scheduler.archive_jobs(moves.map(|it| it.job), now);
-            scheduler.ended_jobs_mut().remove(&transfer.expired);
-        } else {
+        if !is_confirmed {
             self.waiting.extend(moves.map(|it| (it.ended, it.job)));
+            return Vec::new();
         }
+        let jobs: Vec<WorkflowId> = moves.map(|it| it.job).collect();
+        scheduler.archive_jobs(&jobs, now);
+        scheduler.ended_jobs_mut().remove(&transfer.expired);
+        jobs
     }
 
     /// Returns the number of ended jobs that are not moved yet.
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -69,13 +69,13 @@
     }
 
     /// Keeps nothing but the status of ended jobs, since the store holds nothing else of them.
-    pub fn archive_jobs(&mut self, jobs: impl Iterator<Item = WorkflowId>, now: Millis) {
+    pub fn archive_jobs(&mut self, jobs: &[WorkflowId], now: Millis) {
         for id in jobs {
-            if let Some(job) = self.jobs.remove(&id)
+            if let Some(job) = self.jobs.remove(id)
                 && let Some(status) = job.end
             {
                 let age = now.since(job.ended);
-                self.ended_jobs.add(id, status, now, age);
+                self.ended_jobs.add(*id, status, now, age);
             }
         }
     }
--- a/wigeongate-core/tests/workflow/archive.rs
+++ b/wigeongate-core/tests/workflow/archive.rs
@@ -48,8 +48,8 @@
         let now = from + Millis(at);
         if let Some(transfer) = archive.begin(scheduler, LIMIT, now) {
             assert!(transfer.moves.len() * 2 + transfer.expired.len() <= LIMIT);
-            moved.extend(transfer.moves.iter().map(|it| it.job.0));
-            archive.finish(scheduler, true, now);
+            let jobs = archive.finish(scheduler, true, now);
+            moved.extend(jobs.iter().map(|job| job.0));
         }
     }
     moved
--- a/wigeongate/src/entry/archive.rs
+++ b/wigeongate/src/entry/archive.rs
@@ -97,14 +97,19 @@
         });
     }
 
-    /// Ends the transaction in progress.
-    pub fn finish(&mut self, scheduler: &mut WorkflowScheduler, is_confirmed: bool) {
-        self.archive
-            .finish(scheduler, is_confirmed, self.shared.now());
+    /// Ends the transaction in progress; returns the jobs that are archived now.
+    pub fn finish(
+        &mut self,
+        scheduler: &mut WorkflowScheduler,
+        is_confirmed: bool,
+    ) -> Vec<WorkflowId> {
+        let now = self.shared.now();
+        let moved = self.archive.finish(scheduler, is_confirmed, now);
         let gauge = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
         let metrics = &self.shared.metrics;
         metrics.set_gauge("ended_jobs", gauge(scheduler.ended_jobs().count()));
         metrics.set_gauge("unarchived_jobs", gauge(self.archive.waiting()));
+        moved
     }
 
     /// Adds jobs that earlier owners have archived.
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -739,6 +739,7 @@
         self.archiver.advance(&mut self.scheduler);
         let scheduler = &self.scheduler;
         if self.log.may_remove(now) {
+            // Batches that are being merged are not discarded meanwhile.
             self.log.discard_batches(|job| scheduler.has_job(job));
             self.log.remove(now);
         }
