Decide in the core what a checkpoint of the log holds

Cause: compaction replaces at most 29 batches every 0.4 s, only where half of a batch is needless, never merges starts on one host at different places, and begins after the leases of earlier owners. Change: KeptRecords keeps in memory, by job, what a new owner needs; LogCheckpoint decides when a checkpoint is due (once the log after the last weighs as much as the last one holds), cuts it into parts of a bounded size with the batches' boundaries, and names the keys that it replaces once its head is confirmed. Each turn looks at a bounded number of jobs. The starts of jobs that the store no longer holds tell the replay which run of a host started last, and nothing else.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -18,7 +18,9 @@
 mod intake;
 mod isolation;
 mod job;
+mod kept_records;
 mod load;
+mod log_checkpoint;
 mod log_compaction;
 mod message;
 mod order_results;
@@ -48,7 +50,10 @@
     FreeHosts, HORIZONS_MS, Lane, QueueLoad, ServiceLoad, WHOLE, WorkOrigin, capacity_share,
     job_work, step_work,
 };
-pub use log_compaction::{CompactionSettings, JobFate, LogCompaction, Merge};
+pub use log_checkpoint::{
+    CheckpointPart, CheckpointSettings, CheckpointWrite, JobFate, LogCheckpoint, OwnerView,
+};
+pub use log_compaction::{CompactionSettings, LogCompaction, Merge};
 pub use message::{
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
     StartOrder, StartResult, StopOrder,
--- a/wigeongate-core/src/workflow/log_compaction.rs
+++ b/wigeongate-core/src/workflow/log_compaction.rs
@@ -9,23 +9,13 @@
 use std::collections::BTreeMap;
 
 use super::host::RunKey;
+use super::log_checkpoint::JobFate;
 use super::restore::Record;
 use super::spec::WorkflowId;
 use crate::collections::{HashMap, HashSet};
 use crate::ids::HostId;
 use crate::time::Millis;
 
-/// What the owner knows of a job that the log names.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum JobFate {
-    /// The job is open, a run of it still holds capacity, or its end is not written yet.
-    Open,
-    /// The end of the job is written and none of its runs holds capacity.
-    Ended,
-    /// The store no longer holds the job, so that its records mean nothing.
-    Removed,
-}
-
 /// Settings of a [`LogCompaction`].
 #[derive(Debug, Clone)]
 pub struct CompactionSettings {
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -112,10 +112,11 @@
     }
 
     /// Applies a record of an earlier owner. Its job has to be restored first: records of unknown
-    /// jobs are ignored.
+    /// jobs only tell which run of a host started last.
     pub fn replay(&mut self, record: &Record, now: Millis) {
         let id = record.job();
         let Some(job) = self.jobs.get_mut(&id) else {
+            self.replay_unknown(record);
             return;
         };
         match record {
@@ -186,6 +187,19 @@
         }
     }
 
+    /// Applies a record of a job that the store no longer holds.
+    fn replay_unknown(&mut self, record: &Record) {
+        match record {
+            Record::Started(task, run, host) | Record::StartedOn(task, run, host, _) => {
+                self.log_run((*task, *run), host, 0);
+            }
+            Record::Lost(task, run) | Record::Released(task, run) => {
+                self.logged_runs.remove(&(*task, *run));
+            }
+            _ => {}
+        }
+    }
+
     fn log_run(&mut self, key: RunKey, host: &HostId, boot_ms: u64) {
         let run = LoggedRun {
             host: host.clone(),
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -10,7 +10,7 @@
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
 use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
-use super::log_compaction::JobFate;
+use super::log_checkpoint::JobFate;
 use super::message::{Action, Proof, StopOrder};
 use super::placement_pass::Pass;
 use super::planned_starts::PlannedStart;
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -13,7 +13,7 @@
 mod idle_share;
 mod leases;
 mod limits;
-mod log_compaction;
+mod log_checkpoint;
 mod lone_owner;
 mod mixed_load;
 mod next_owner;
--- a/wigeongate-core/tests/workflow/next_owner.rs
+++ b/wigeongate-core/tests/workflow/next_owner.rs
@@ -5,7 +5,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::workflow::{WorkflowId, WorkflowStatus};
 
-use crate::log_compaction::eager;
+use crate::log_checkpoint::eager;
 use crate::world::{Faults, World, flow, host, queue, rules};
 use crate::{CORE, random_steps};
 
@@ -97,8 +97,8 @@
 struct Kind {
     name: &'static str,
     faults: Faults,
-    /// Whether the owners shorten the log.
-    compacts: bool,
+    /// Whether the owners write checkpoints.
+    checkpoints: bool,
 }
 
 fn kinds() -> Vec<Kind> {
@@ -111,22 +111,22 @@
         Kind {
             name: "no faults",
             faults: Faults::default(),
-            compacts: false,
+            checkpoints: false,
         },
         Kind {
             name: "late orders",
             faults: late,
-            compacts: false,
+            checkpoints: false,
         },
         Kind {
-            name: "late orders, shortened log",
+            name: "late orders, checkpoints",
             faults: late,
-            compacts: true,
+            checkpoints: true,
         },
         Kind {
             name: "crashes",
             faults: Faults { crash: 60, ..late },
-            compacts: false,
+            checkpoints: false,
         },
         Kind {
             name: "changes of owner",
@@ -135,16 +135,16 @@
                 takeover: 60,
                 ..late
             },
-            compacts: false,
+            checkpoints: false,
         },
         Kind {
-            name: "changes of owner, shortened log",
+            name: "changes of owner, checkpoints",
             faults: Faults {
                 crash: 30,
                 takeover: 30,
                 ..late
             },
-            compacts: true,
+            checkpoints: true,
         },
     ]
 }
@@ -157,9 +157,9 @@
             let name = format!("{}, seed {seed}", kind.name);
             let hosts = (0..4).map(|at| host(at, 4 * CORE)).collect();
             let mut world = World::new(seed, hosts, rules(3, Resources::UNBOUNDED), kind.faults);
-            if kind.compacts {
+            if kind.checkpoints {
                 world.lease_ms = 600;
-                world.enable_compaction(eager(), 10);
+                world.enable_checkpoints(eager(), 10);
             }
             said.running.clear();
             said.ended.clear();
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -188,9 +188,15 @@
     flows: Vec<Workflow>,
     /// The written records, by batch.
     log: Vec<Vec<Record>>,
-    /// The same log with compaction, from which the next owner restores its state; `None` if the
-    /// owner does not compact.
+    /// The same log with checkpoints, from which the next owner restores its state; `None` if the
+    /// owner writes none.
     stored_log: Option<StoredLog>,
+    /// When no run of an earlier owner can exist any more.
+    runs_known_at: u64,
+    /// The chance of an ended job to leave the store in each step, in percent.
+    pub archived_percent: u64,
+    /// The jobs that have left the store.
+    archived: BTreeSet<WorkflowId>,
     unwritten: Vec<Record>,
     /// When each record was added.
     pub recorded: Vec<u64>,
@@ -319,6 +325,9 @@
             flows: Vec::new(),
             log: Vec::new(),
             stored_log: None,
+            runs_known_at: 0,
+            archived_percent: 0,
+            archived: BTreeSet::new(),
             unwritten: Vec::new(),
             recorded: Vec::new(),
             rules: Arc::new(rules),
@@ -363,7 +372,7 @@
     /// Returns an owner of the current epoch that has read the written records.
     pub fn restored(&self, actions: &mut Vec<Action>) -> WorkflowScheduler {
         match &self.stored_log {
-            Some(log) => self.restored_from(log.batches(), actions),
+            Some(log) => self.restored_from(log.read().iter(), actions),
             None => self.restored_from(self.log.iter(), actions),
         }
     }
@@ -383,8 +392,9 @@
         let mut scheduler = WorkflowScheduler::new(settings, now);
         scheduler.configure(Arc::clone(&self.rules));
         scheduler.tick(now, self.now, actions);
-        for flow in self.flows.clone() {
-            scheduler.restore(flow, now, Millis::ZERO);
+        let is_stored = |flow: &&Workflow| !self.archived.contains(&flow.id);
+        for flow in self.flows.iter().filter(is_stored) {
+            scheduler.restore(flow.clone(), now, Millis::ZERO);
         }
         for batch in log {
             scheduler.begin_batch();
@@ -510,7 +520,7 @@
         self.scheduler.tick(now, self.now, &mut actions);
         self.scheduler.place(now, &mut actions);
         self.carry_out(actions);
-        self.compact_log();
+        self.write_checkpoint();
         if self.now.is_multiple_of(50) {
             let ids: Vec<HostId> = self.executors.keys().cloned().collect();
             for id in ids {
