Write checkpoints of the log in place of its compaction

Change: entry/checkpoint.rs writes the parts and then the head, each on the condition that the owner key is unchanged, the head also that the one before is; only then are the covered batches and the parts before removed, 31 keys a transaction and 100 ms apart. A short log is replaced after 5 s once most of it is needless, so that a quiet deployment ends with an empty log as before. LogCompaction is gone; Retention handles jobs only. The setting `compaction` is accepted and has no effect. Tests: those of compaction on real processes are those of checkpoints now, with a head that cannot be read and with leftovers as cases more. Retention: the order of jobs and batches and "a batch stays as long as a job whose begin it records" are cases of log_checkpoint (records of a job go only once it has left the store; Begun is kept). The settings test asserted where compaction was on; there is no such choice any more, so it asserts that the key is accepted, changes nothing else, and is still checked.

--- a/wigeongate-config/src/entry.rs
+++ b/wigeongate-config/src/entry.rs
@@ -47,7 +47,8 @@
     pub scheduling: SchedulingSettings,
     /// Share of the machine for the connections of clients.
     pub connections: ConnectionSettings,
-    /// Whether the owner shortens the stored log by what ended jobs no longer need.
+    /// Has no effect any more; accepted so that the settings of earlier versions stay valid. The owner
+    /// always writes checkpoints of its log.
     pub compaction: PolicyMode,
     /// Time limits set by operators.
     pub bounds: EntryBounds,
@@ -318,11 +319,6 @@
         }
     }
 
-    /// Returns whether the owner shortens the stored log.
-    pub const fn shortens_log(&self) -> bool {
-        self.is_on(self.compaction)
-    }
-
     /// Returns the optional scheduling policies that are in force. Admission control has to be enabled
     /// explicitly: on a full fleet its forecast refuses jobs that would still earn something.
     pub fn policies(&self) -> Policies {
--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -21,7 +21,6 @@
 mod kept_records;
 mod load;
 mod log_checkpoint;
-mod log_compaction;
 mod message;
 mod order_results;
 mod placement_pass;
@@ -53,7 +52,6 @@
 pub use log_checkpoint::{
     CheckpointPart, CheckpointSettings, CheckpointWrite, JobFate, LogCheckpoint, OwnerView,
 };
-pub use log_compaction::{CompactionSettings, LogCompaction, Merge};
 pub use message::{
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
     StartOrder, StartResult, StopOrder,
--- a/wigeongate-core/src/workflow/log_checkpoint.rs
+++ b/wigeongate-core/src/workflow/log_checkpoint.rs
@@ -39,6 +39,9 @@
     /// checkpoint also waits until the log after the last one weighs as much as that, so that what is
     /// written stays proportional to what is logged.
     pub min_weight: usize,
+    /// The time after the beginning of a checkpoint from which half of the stored records being
+    /// needless is enough for the next, however short the log is.
+    pub idle: Millis,
     /// A bound on the bytes of a part.
     pub part_bytes: usize,
     /// The least time between the writes of two parts.
@@ -55,7 +58,8 @@
     fn default() -> Self {
         Self {
             interval: Millis(2_000),
-            min_weight: 4_000,
+            min_weight: 2_000,
+            idle: Millis(5_000),
             part_bytes: 40_000,
             pause: Millis(100),
             turn_jobs: 256,
@@ -145,8 +149,8 @@
     parts: Vec<String>,
     records: usize,
     progress: Option<Progress>,
-    /// The earliest time of the next checkpoint.
-    next: Millis,
+    /// When the last checkpoint began.
+    began: Millis,
     /// Keys that the checkpoint in force replaces, the oldest first.
     obsolete: VecDeque<String>,
     /// How many of them are being removed.
@@ -295,10 +299,18 @@
         }
     }
 
+    /// Returns whether the next checkpoint is due so long after the last.
+    fn is_due(&self, passed: Millis) -> bool {
+        let has_grown = self.tail_weight >= self.records.max(self.settings.min_weight);
+        let stored = self.records + self.tail_weight - BATCH_WEIGHT * self.tail.len();
+        let is_needless = self.kept.len() * 2 <= stored;
+        (has_grown && passed >= self.settings.interval)
+            || (is_needless && passed >= self.settings.idle)
+    }
+
     /// Begins a checkpoint if the log has grown enough since the last.
     fn begin(&mut self, view: &impl OwnerView, now: Millis) {
-        let due = self.records.max(self.settings.min_weight);
-        if !self.is_settled || now < self.next || self.tail_weight < due {
+        if !self.is_settled || !self.is_due(now.since(self.began)) {
             return;
         }
         let Some(key) = self.tail.back().map(|batch| batch.key.clone()) else {
@@ -307,7 +319,7 @@
         if view.runs_known() {
             self.kept.retain_hosts(|host| view.has_host(host));
         }
-        self.next = now + self.settings.interval;
+        self.began = now;
         self.count += 1;
         self.progress = Some(Progress {
             covered: self.newest,
--- a/wigeongate/src/entry.rs
+++ b/wigeongate/src/entry.rs
@@ -7,8 +7,8 @@
 mod admission;
 mod advice;
 mod callers;
+mod checkpoint;
 mod cleanup;
-mod compaction;
 mod configuration;
 mod contact_ages;
 mod forecasts;
@@ -32,6 +32,8 @@
 mod share_report;
 pub mod shared;
 mod speeds;
+mod stored_head;
+mod sweep;
 pub mod turns;
 mod waits;
 
--- a/wigeongate/src/entry/cleanup.rs
+++ b/wigeongate/src/entry/cleanup.rs
@@ -1,4 +1,4 @@
-//! Removes the keys of expired jobs and their log batches from the store.
+//! Removes the keys of expired jobs from the store.
 
 use std::sync::Arc;
 
@@ -21,10 +21,9 @@
     removal: &Removal,
     revision: u64,
 ) {
-    let jobs = removal.jobs.iter().map(|job| job_key(*job));
     let txn = Txn {
         expected: vec![(OWNER_KEY.to_owned(), revision)],
-        removes: jobs.chain(removal.batches.iter().cloned()).collect(),
+        removes: removal.jobs.iter().map(|job| job_key(*job)).collect(),
         ..Txn::default()
     };
     let shared = Arc::clone(shared);
@@ -34,7 +33,7 @@
         let result = shared.store.commit(&txn).await;
         match &result {
             Ok(TxnOutcome::Done(_)) => debug!(keys, "cleanup: expired keys removed."),
-            // The next owner reads all jobs and batches and removes the expired ones.
+            // The next owner reads all jobs and removes the expired ones.
             Ok(_) => debug!(keys, "cleanup: nothing removed, another gate is the owner."),
             Err(error) => {
                 warn!(%error, keys, "cleanup: removing expired keys failed; trying again.");
--- a/wigeongate/src/entry/log.rs
+++ b/wigeongate/src/entry/log.rs
@@ -6,14 +6,15 @@
 use tokio::sync::mpsc;
 use tracing::{info, warn};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{JobFate, Record, Retention, WorkflowId};
+use wigeongate_core::workflow::{CheckpointPart, OwnerView, Record, Retention, WorkflowId};
 use wigeongate_platform::store::{Txn, TxnOutcome};
 
+use super::checkpoint::{CheckpointEvent, Checkpointer};
 use super::cleanup::{self, MAX_REMOVED_KEYS};
-use super::compaction::{CompactionOutcome, Compactor};
 use super::owner_event::OwnerEvent;
-use super::records::{OWNER_KEY, batch_key, encode_batch};
+use super::records::{CheckpointHead, OWNER_KEY, batch_key, encode_batch};
 use super::shared::Shared;
+use super::sweep::Sweep;
 
 /// The minimum time between writes of the log, in milliseconds. Every write is charged for, and
 /// each start waits for one.
@@ -55,22 +56,20 @@
     /// The key and the records of the write in progress.
     in_flight: Option<(String, Vec<Record>)>,
     retention: Retention,
-    compactor: Compactor,
+    checkpointer: Checkpointer,
 }
 
 impl Log {
-    /// Creates the empty log of an epoch; `revision` is that of the owner key. At `runs_known`, no run
-    /// can exist any more that the owner does not know.
+    /// Creates the empty log of an epoch; `revision` is that of the owner key.
     pub fn new(
         shared: Arc<Shared>,
         epoch: u64,
         revision: u64,
         events: mpsc::UnboundedSender<OwnerEvent>,
-        runs_known: Millis,
     ) -> Self {
-        let compactor = Compactor::new(Arc::clone(&shared), revision, events.clone(), runs_known);
+        let checkpointer = Checkpointer::new(Arc::clone(&shared), epoch, revision, events.clone());
         Self {
-            compactor,
+            checkpointer,
             shared,
             epoch,
             revision,
@@ -86,15 +85,35 @@
         }
     }
 
-    /// Adds a stored batch of an earlier owner, so that it is removed when its jobs expire.
+    /// Takes over the checkpoint in force, whose head has a revision.
+    pub const fn add_head(&mut self, revision: u64) {
+        self.checkpointer.add_head(revision);
+    }
+
+    /// Adds a part of the checkpoint in force; parts come before batches.
+    pub fn add_part(&mut self, key: &str, part: CheckpointPart) {
+        self.checkpointer.add_part(key, part);
+    }
+
+    /// Adds a stored batch of an earlier owner.
     pub fn add_batch(&mut self, key: &str, records: Vec<Record>) {
-        self.retention.add_batch(key, &records);
-        self.compactor.add_batch(key, records);
+        self.checkpointer.add_batch(key, records);
     }
 
     /// Leaves the log as it is in this epoch, because the store holds values that cannot be read.
-    pub fn disable_compaction(&mut self) {
-        self.compactor.disable();
+    pub fn disable_checkpoints(&mut self) {
+        self.checkpointer.disable();
+    }
+
+    /// Returns the removal of what earlier owners have left behind beside a checkpoint.
+    pub fn sweep(&self, head: Option<CheckpointHead>) -> Sweep {
+        Sweep {
+            shared: Arc::clone(&self.shared),
+            epoch: self.epoch,
+            revision: self.revision,
+            events: self.events.clone(),
+            head,
+        }
     }
 
     /// Adds a record to the next write.
@@ -103,15 +122,11 @@
         self.unwritten.push(record);
     }
 
-    /// Marks the write in progress as finished; `was_answered` tells whether the store answered each
-    /// attempt at it.
-    pub fn finish_write(&mut self, was_answered: bool) {
+    /// Marks the write in progress as finished.
+    pub fn finish_write(&mut self) {
         self.writing = false;
         if let Some((key, records)) = self.in_flight.take() {
-            self.compactor.add_batch(&key, records);
-            if !was_answered {
-                self.compactor.delay_newest(self.shared.now());
-            }
+            self.checkpointer.add_batch(&key, records);
         }
         // The records that still wait were added after that write began.
         self.oldest_pending = (!self.unwritten.is_empty()).then_some(self.last_write);
@@ -148,7 +163,6 @@
         let last = self.first_unwritten + u64::try_from(count).unwrap_or(0) - 1;
         self.first_unwritten = last + 1;
         let key = batch_key(self.epoch, self.batch_count);
-        self.retention.add_batch(&key, &records);
         let txn = Txn {
             expected: vec![(OWNER_KEY.to_owned(), self.revision), (key.clone(), 0)],
             puts: vec![(key.clone(), encode_batch(&records), 0)],
@@ -168,26 +182,20 @@
 
     /// Returns whether a removal of expired keys may begin.
     pub fn may_remove(&self, now: Millis) -> bool {
-        !self.writing && !self.compactor.is_busy() && self.retention.is_due(now)
+        !self.writing && self.retention.is_due(now)
     }
 
-    /// Shortens the stored log if that is due and no removal is in progress.
-    pub fn compact(&mut self, now: Millis, fate: impl Fn(WorkflowId) -> JobFate) {
-        // A record that waits may be about a run that the records of its job no longer show.
-        if self.written_through().is_some() && !self.retention.is_busy() {
-            self.compactor.begin(now, fate);
-        }
+    /// Goes on with the checkpoint, and with the removal of what the last one has replaced.
+    pub fn advance_checkpoint(&mut self, view: &impl OwnerView, now: Millis) {
+        self.checkpointer.advance(view, now);
     }
 
-    /// Ends the compaction in progress.
-    pub fn finish_compaction(&mut self, outcome: CompactionOutcome, now: Millis) {
-        for merge in self.compactor.finish(outcome, now) {
-            self.retention
-                .replace_batches(&merge.replaced, &merge.key, &merge.records);
-        }
+    /// Handles the outcome of a transaction of the checkpoint.
+    pub fn finish_checkpoint(&mut self, event: CheckpointEvent) {
+        self.checkpointer.finish(event);
     }
 
-    /// Begins to remove the keys of expired jobs, and batches without records of other jobs.
+    /// Begins to remove the keys of expired jobs.
     pub fn remove(&mut self, expired: &[WorkflowId], now: Millis) {
         let removal = self.retention.begin_removal(expired, MAX_REMOVED_KEYS, now);
         if let Some(removal) = removal {
@@ -200,12 +208,9 @@
         self.retention.end_removal(is_confirmed)
     }
 
-    /// Lets batches be removed that have no records of stored jobs.
-    pub fn discard_batches(&mut self, is_stored: impl Fn(WorkflowId) -> bool) {
-        self.retention.discard_batches(&is_stored);
-        let retention = &self.retention;
-        self.compactor
-            .retain(|key| retention.has_batch(key), is_stored);
+    /// Handles that jobs have left the store.
+    pub fn forget_jobs(&mut self, jobs: &[WorkflowId]) {
+        self.checkpointer.forget_jobs(jobs);
     }
 }
 
@@ -218,10 +223,9 @@
     last: u64,
 ) -> OwnerEvent {
     let mut failures = 0;
-    let mut was_answered = true;
     while !events.is_closed() {
         match shared.store.commit(txn).await {
-            Ok(TxnOutcome::Done(_)) => return OwnerEvent::LogWritten(last, was_answered),
+            Ok(TxnOutcome::Done(_)) => return OwnerEvent::LogWritten(last),
             Ok(TxnOutcome::Conflict(items)) => {
                 let owned = items
                     .iter()
@@ -230,7 +234,7 @@
                     .iter()
                     .any(|item| item.key == key && item.revision > 0);
                 if written {
-                    return OwnerEvent::LogWritten(last, was_answered);
+                    return OwnerEvent::LogWritten(last);
                 }
                 if !owned {
                     info!(key, "owner: another gate is the owner; the log ends here.");
@@ -241,7 +245,6 @@
             Err(error) => {
                 warn!(%error, key, "owner: writing the log failed; trying again.");
                 failures += 1;
-                was_answered &= error.is_not_executed();
                 if failures >= YIELD_FAILURES {
                     // Fails only after the owner's loop has ended.
                     let _ = events.send(OwnerEvent::TakeoverWanted);
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -18,6 +18,7 @@
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::callers::job_age;
+use super::checkpoint::SchedulerView;
 use super::contact_ages::ContactAges;
 use super::forecasts::Forecasts;
 use super::hosts::HostLink;
@@ -33,6 +34,7 @@
 use super::share_report::ShareReport;
 use super::shared::Shared;
 use super::speeds;
+use super::stored_head::StoredHead;
 use super::turns::Turns;
 use super::waits::WaitReport;
 use crate::clock::wall_ms;
@@ -74,6 +76,8 @@
     registry_read: Millis,
     /// Whether that list or the configuration is too old for starts.
     is_stale: bool,
+    /// When no run can exist any more that this owner does not know.
+    runs_known: Millis,
     /// Whether another gate has become the owner; ends the loop.
     fenced: bool,
     /// How far the restore has come.
@@ -112,13 +116,7 @@
             policies: shared.settings.policies(),
         };
         let runs_known = now + settings.inherited_lease;
-        let log = Log::new(
-            Arc::clone(&shared),
-            epoch,
-            revision,
-            events.clone(),
-            runs_known,
-        );
+        let log = Log::new(Arc::clone(&shared), epoch, revision, events.clone());
         let run_times = RunTimesWriter::new(Arc::clone(&shared), revision);
         let mut scheduler = WorkflowScheduler::new(settings, now);
         scheduler.set_advice_gates(AdviceGates::new(shared.settings.gate.clone(), now));
@@ -142,6 +140,7 @@
             fenced: false,
             progress,
             hosts_known: None,
+            runs_known,
             has_started: false,
             next_pass: Instant::now(),
             start_times: HashMap::default(),
@@ -296,12 +295,22 @@
         let mut turns = Turns::default();
         self.progress
             .begin(RestoreStep::NoteBatches, self.shared.now());
+        if let StoredHead::Present(_, revision) = &restored.head {
+            self.log.add_head(*revision);
+        }
+        for (key, part) in restored.parts {
+            turns.count(part.batches.iter().map(Vec::len).sum()).await;
+            self.log.add_part(&key, part);
+        }
         for (key, records) in restored.batches {
             turns.count(records.len()).await;
             self.log.add_batch(&key, records);
         }
-        if !restored.is_readable {
-            self.log.disable_compaction();
+        if restored.is_readable {
+            let head = restored.head.head().cloned();
+            tokio::spawn(self.log.sweep(head).run());
+        } else {
+            self.log.disable_checkpoints();
         }
         for action in restored.actions {
             turns.count(1).await;
@@ -395,9 +404,9 @@
                 let _ = answer.send(is_current);
             }
             OwnerEvent::RemovalAnswered(is_confirmed) => self.finish_removal(is_confirmed),
-            OwnerEvent::Compacted(outcome) => self.log.finish_compaction(outcome, now),
-            OwnerEvent::LogWritten(number, was_answered) => {
-                self.log.finish_write(was_answered);
+            OwnerEvent::Checkpoint(event) => self.log.finish_checkpoint(event),
+            OwnerEvent::LogWritten(number) => {
+                self.log.finish_write();
                 self.finish_write(number, actions);
             }
             OwnerEvent::TakeoverWanted => self.yield_ownership(),
@@ -722,15 +731,18 @@
         self.log.write();
     }
 
-    /// Begins to remove expired jobs from the store, or to shorten its log, when that is due.
+    /// Begins to remove expired jobs from the store, or to write a checkpoint of its log, when that is due.
     fn clean_up(&mut self) {
         let now = self.shared.now();
         if self.log.may_remove(now) {
             let expired = self.scheduler.expired_jobs(now);
             self.log.remove(&expired, now);
         }
-        let scheduler = &self.scheduler;
-        self.log.compact(now, |job| scheduler.job_fate(job));
+        let view = SchedulerView {
+            scheduler: &self.scheduler,
+            runs_known: self.hosts_known.is_some() || now >= self.runs_known,
+        };
+        self.log.advance_checkpoint(&view, now);
     }
 
     /// Forgets the jobs that the store has removed.
@@ -744,6 +756,6 @@
         let is_known = |job| scheduler.status(job).is_some();
         self.start_times
             .retain(|(task, _), _| is_known(task.step.job));
-        self.log.discard_batches(is_known);
+        self.log.forget_jobs(&removed);
     }
 }
--- a/wigeongate/src/entry/owner_event.rs
+++ b/wigeongate/src/entry/owner_event.rs
@@ -8,7 +8,7 @@
 };
 
 use super::advice::AdviceCall;
-use super::compaction::CompactionOutcome;
+use super::checkpoint::CheckpointEvent;
 use super::peers::{PeerAnswer, PeerCall};
 
 /// An event that the owner handles.
@@ -39,10 +39,10 @@
     JobsFound(Vec<StoredJob>, u64, oneshot::Sender<bool>),
     /// The removal of expired keys has ended; whether the store has confirmed it.
     RemovalAnswered(bool),
-    /// The transaction that shortens the log has ended.
-    Compacted(CompactionOutcome),
-    /// The log is written up to the record with this number; whether the store answered each attempt.
-    LogWritten(u64, bool),
+    /// A transaction of the checkpoint has ended.
+    Checkpoint(CheckpointEvent),
+    /// The log is written up to the record with this number.
+    LogWritten(u64),
     /// Writes of the log fail repeatedly, so another gate should take over.
     TakeoverWanted,
     /// Another gate has become the owner.
--- a/wigeongate/src/entry/records.rs
+++ b/wigeongate/src/entry/records.rs
@@ -23,6 +23,12 @@
 /// The key prefix of log batches.
 pub const LOG_PREFIX: &str = "wigeongate/log/";
 
+/// The key of the checkpoint in force, a [`CheckpointHead`].
+pub const CHECKPOINT_KEY: &str = "wigeongate/checkpoint";
+
+/// The key prefix of the parts of checkpoints.
+pub const CHECKPOINTS_PREFIX: &str = "wigeongate/checkpoint/";
+
 /// The key of what the finished runs have shown.
 pub const RUN_TIMES_KEY: &str = "wigeongate/run-times";
 
@@ -46,6 +52,19 @@
     pub records: Vec<Record>,
 }
 
+/// The checkpoint in force: what a new owner needs of all batches up to one stands in its parts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckpointHead {
+    /// The key of the newest batch that it covers.
+    pub covered: String,
+    /// The epoch of the owner that wrote it.
+    pub epoch: u64,
+    /// Its number in that epoch.
+    pub number: u64,
+    /// The number of its parts.
+    pub parts: u32,
+}
+
 /// Returns the key of a job.
 pub fn job_key(id: WorkflowId) -> String {
     format!("{JOBS_PREFIX}{id}")
@@ -56,6 +75,16 @@
     format!("{LOG_PREFIX}{epoch:08x}/{number:08x}")
 }
 
+/// Returns the key prefix of the parts of one checkpoint.
+pub fn parts_prefix(epoch: u64, number: u64) -> String {
+    format!("{CHECKPOINTS_PREFIX}{epoch:08x}/{number:08x}/")
+}
+
+/// Returns the key of a part of a checkpoint; keys sort in the order of the parts.
+pub fn part_key(epoch: u64, number: u64, part: u32) -> String {
+    format!("{}{part:08x}", parts_prefix(epoch, number))
+}
+
 /// Encodes the value of a log batch, a [`LogBatch`].
 pub fn encode_batch(records: &[Record]) -> Vec<u8> {
     // A struct of one field has the encoding of the field.
--- a/wigeongate/src/entry/restore.rs
+++ b/wigeongate/src/entry/restore.rs
@@ -5,15 +5,18 @@
 use eyre::{Result, WrapErr};
 use tracing::warn;
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{Action, Record, StoredJob, WorkflowScheduler};
+use wigeongate_core::workflow::{Action, CheckpointPart, Record, StoredJob, WorkflowScheduler};
 use wigeongate_platform::store::Item;
 
 use super::callers::job_age;
 use super::job_watch;
-use super::records::{JOBS_PREFIX, LOG_PREFIX, LogBatch, decode, is_cancelled};
+use super::records::{
+    CheckpointHead, JOBS_PREFIX, LOG_PREFIX, LogBatch, decode, is_cancelled, parts_prefix,
+};
 use super::restore_progress::{RestoreProgress, RestoreStep, StepSize};
 use super::run_times;
 use super::shared::Shared;
+use super::stored_head::{StoredHead, decode_part};
 use super::turns::{MAX_ITEMS, Turns};
 use crate::clock::wall_ms;
 
@@ -35,6 +38,9 @@
 /// The records of a batch of the log, with its key.
 pub type StoredBatch = (String, Vec<Record>);
 
+/// A part of the checkpoint in force, with its key.
+pub type StoredPart = (String, CheckpointPart);
+
 /// What a restore has brought.
 #[derive(Debug)]
 pub struct Restored {
@@ -42,7 +48,11 @@
     pub revision: u64,
     /// The number of stored jobs.
     pub jobs: usize,
-    /// The batches of the log, in the order in which they were written.
+    /// The checkpoint in force.
+    pub head: StoredHead,
+    /// Its parts, in their order.
+    pub parts: Vec<StoredPart>,
+    /// The batches that it does not cover, in the order in which they were written.
     pub batches: Vec<StoredBatch>,
     /// Whether everything that is stored could be decoded.
     pub is_readable: bool,
@@ -56,6 +66,8 @@
     jobs: Vec<Item>,
     /// The revision up to which the jobs are complete.
     revision: u64,
+    head: StoredHead,
+    parts: Vec<Item>,
     batches: Vec<Item>,
 }
 
@@ -64,6 +76,8 @@
 struct StoredState {
     /// In the order in which they were accepted.
     jobs: Vec<StoredJob>,
+    /// In their order.
+    parts: Vec<StoredPart>,
     /// In the order in which they were written.
     batches: Vec<StoredBatch>,
     /// Whether everything could be decoded.
@@ -78,16 +92,20 @@
     pub async fn run(mut self) -> Result<Restored> {
         let items = self.read().await?;
         let (revision, jobs) = (items.revision, items.jobs.len());
-        let state = self.decode(&items).await;
+        let mut state = self.decode(&items).await;
+        let head = items.head.clone();
         drop(items);
         let now = self.shared.now();
         self.scheduler.tick(now, wall_ms(), &mut Vec::new());
-        self.restore_jobs(state.jobs, now).await;
-        self.replay(&state.batches, now).await;
+        self.restore_jobs(std::mem::take(&mut state.jobs), now)
+            .await;
+        self.replay(&state, now).await;
         let actions = self.finish(now, jobs).await;
         Ok(Restored {
             revision,
             jobs,
+            head,
+            parts: state.parts,
             batches: state.batches,
             is_readable: state.is_readable,
             actions,
@@ -111,13 +129,17 @@
             self.begin(RestoreStep::ReadRunTimes);
             tokio::spawn(run_times::read(Arc::clone(self.shared)))
         });
-        let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX);
-        let batches = self.read_prefix(RestoreStep::ReadLog, LOG_PREFIX);
-        let ((jobs, revision), (batches, _)) =
+        self.begin(RestoreStep::ReadHead);
+        let head = StoredHead::read(&self.shared.store).await?;
+        self.end(RestoreStep::ReadHead, StepSize::default());
+        let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX, "");
+        let parts = self.read_parts(head.head());
+        let batches = self.read_prefix(RestoreStep::ReadLog, LOG_PREFIX, head.covered());
+        let ((jobs, revision), parts, (batches, _)) =
             if self.shared.settings.processors() < MIN_PARALLEL_CORES {
-                (jobs.await?, batches.await?)
+                (jobs.await?, parts.await?, batches.await?)
             } else {
-                tokio::try_join!(jobs, batches)?
+                tokio::try_join!(jobs, parts, batches)?
             };
         if let Some(run_times) = run_times {
             self.scheduler
@@ -127,12 +149,30 @@
         Ok(StoredItems {
             jobs,
             revision,
+            head,
+            parts,
             batches,
         })
     }
 
-    /// Reads all keys with a prefix as one step; returns them with the revision of the first page.
-    async fn read_prefix(&self, step: RestoreStep, prefix: &str) -> Result<(Vec<Item>, u64)> {
+    /// Reads the parts of the checkpoint in force.
+    async fn read_parts(&self, head: Option<&CheckpointHead>) -> Result<Vec<Item>> {
+        let Some(head) = head.filter(|head| head.parts > 0) else {
+            return Ok(Vec::new());
+        };
+        let prefix = parts_prefix(head.epoch, head.number);
+        let read = self.read_prefix(RestoreStep::ReadCheckpoint, &prefix, "");
+        Ok(read.await?.0)
+    }
+
+    /// Reads the keys with a prefix that follow `after` as one step; returns them with the revision of
+    /// the first page.
+    async fn read_prefix(
+        &self,
+        step: RestoreStep,
+        prefix: &str,
+        after: &str,
+    ) -> Result<(Vec<Item>, u64)> {
         self.begin(step);
         let (mut pages, mut items) = (0, 0);
         let on_page = |page_items, bytes| {
@@ -145,7 +185,7 @@
             };
             self.progress.add(step, size);
         };
-        let read = self.shared.store.range_pages(prefix, on_page).await;
+        let read = self.shared.store.range_pages(prefix, after, on_page).await;
         let read =
             read.wrap_err_with(|| format!("{step}, after {items} items in {pages} pages"))?;
         self.end(step, StepSize::default());
@@ -160,8 +200,19 @@
         let mut is_readable = jobs.len() == stored.count();
         // Jobs count against a team's limits in the order in which they were accepted.
         jobs.sort_by_key(|job| job.flow.accepted);
-        let mut batches = Vec::with_capacity(items.batches.len());
+        is_readable &= items.head != StoredHead::Unreadable;
         let mut turns = Turns::default();
+        let mut parts = Vec::with_capacity(items.parts.len());
+        for key in items.head.part_keys() {
+            match decode_part(&key, &items.parts) {
+                Some(part) => {
+                    turns.count(part.batches.iter().map(Vec::len).sum()).await;
+                    parts.push((key, part));
+                }
+                None => is_readable = false,
+            }
+        }
+        let mut batches = Vec::with_capacity(items.batches.len());
         for item in &items.batches {
             match decode::<LogBatch>(&item.key, &item.value) {
                 Ok(batch) => {
@@ -178,10 +229,11 @@
                 }
             }
         }
-        let size = StepSize::items(items.jobs.len() + items.batches.len());
+        let size = StepSize::items(items.jobs.len() + items.parts.len() + items.batches.len());
         self.end(RestoreStep::Decode, size);
         StoredState {
             jobs,
+            parts,
             batches,
             is_readable,
         }
@@ -200,13 +252,21 @@
         self.end(RestoreStep::RestoreJobs, size);
     }
 
-    /// Replays the records of the log.
-    async fn replay(&mut self, batches: &[StoredBatch], now: Millis) {
+    /// Replays the checkpoint and the batches after it.
+    async fn replay(&mut self, state: &StoredState, now: Millis) {
         self.begin(RestoreStep::Replay);
         let mut size = StepSize::default();
         let mut turns = Turns::default();
-        for (_, records) in batches {
-            self.scheduler.begin_batch();
+        let parts = state.parts.iter().flat_map(|(_, part)| {
+            let batches = part.batches.iter().enumerate();
+            batches.map(|(at, records)| (at == 0 && part.continues, records))
+        });
+        let batches = state.batches.iter().map(|(_, records)| (false, records));
+        let batches: Vec<(bool, &Vec<Record>)> = parts.chain(batches).collect();
+        for (continues, records) in batches {
+            if !continues {
+                self.scheduler.begin_batch();
+            }
             for record in records {
                 self.scheduler.replay(record, now);
                 turns.count(1).await;
--- a/wigeongate/src/entry/restore_progress.rs
+++ b/wigeongate/src/entry/restore_progress.rs
@@ -11,10 +11,16 @@
 /// A step of the restore, in the order in which they begin; the reads may go on beside each other.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum RestoreStep {
+    /// The head of the checkpoint is read from the store.
+    #[display("read head")]
+    ReadHead,
     /// The accepted jobs are read from the store.
     #[display("read jobs")]
     ReadJobs,
-    /// The log of earlier owners is read from the store.
+    /// The parts of the checkpoint are read from the store.
+    #[display("read checkpoint")]
+    ReadCheckpoint,
+    /// The log after the checkpoint is read from the store.
     #[display("read log")]
     ReadLog,
     /// What the finished runs have shown is read from the store.
@@ -38,8 +44,10 @@
 }
 
 impl RestoreStep {
-    const ALL: [Self; 8] = [
+    const ALL: [Self; 10] = [
+        Self::ReadHead,
         Self::ReadJobs,
+        Self::ReadCheckpoint,
         Self::ReadLog,
         Self::ReadRunTimes,
         Self::Decode,
@@ -139,7 +147,7 @@
         let has_begun = |step: &RestoreStep| steps[*step as usize].began.is_some();
         let open = RestoreStep::ALL.into_iter().find(is_open);
         let last = RestoreStep::ALL.into_iter().rfind(has_begun);
-        open.or(last).unwrap_or(RestoreStep::ReadJobs)
+        open.or(last).unwrap_or(RestoreStep::ReadHead)
     }
 
     /// Sets the gauges of the time and the size of each step that has ended.
