Merge the checkpoints of the log

The removal of log batches and the second half of the retention go: checkpoints replace batches, the archive removes ended jobs. The cases of the order of jobs and batches are those of log_checkpoint. The archive tells the log which jobs have left the store.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -22,8 +22,9 @@
 mod job;
 mod job_counts;
 mod job_ends;
+mod kept_records;
 mod load;
-mod log_compaction;
+mod log_checkpoint;
 mod message;
 mod order_results;
 mod orphan_runs;
@@ -32,7 +33,6 @@
 mod policies;
 mod reports;
 mod restore;
-mod retention;
 mod rules;
 mod run_forecasts;
 mod scheduler;
@@ -55,14 +55,15 @@
     FreeHosts, HORIZONS_MS, Lane, QueueLoad, ServiceLoad, WHOLE, WorkOrigin, capacity_share,
     job_work, step_work,
 };
-pub use log_compaction::{CompactionSettings, JobFate, LogCompaction, Merge};
+pub use log_checkpoint::{
+    CheckpointPart, CheckpointSettings, CheckpointWrite, JobFate, LogCheckpoint, OwnerView,
+};
 pub use message::{
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
     StartOrder, StartResult, StopOrder,
 };
 pub use policies::Policies;
 pub use restore::{CrashRecord, Record, RestoreRest};
-pub use retention::Retention;
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
 pub use run_forecasts::RunSample;
 pub use scheduler::{WorkflowScheduler, WorkflowSettings};
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -4,7 +4,7 @@
 use super::ended_jobs::EndedJobs;
 use super::host::Host;
 use super::job::WorkflowStatus;
-use super::log_compaction::JobFate;
+use super::log_checkpoint::JobFate;
 use super::scheduler::WorkflowScheduler;
 use super::spec::WorkflowId;
 use crate::time::Millis;
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -19,6 +19,7 @@
 use super::advice::{AdviceCall, AdviceClient};
 use super::archive::Archiver;
 use super::callers::job_age;
+use super::checkpoint::SchedulerView;
 use super::contact_ages::ContactAges;
 use super::forecasts::Forecasts;
 use super::hosts::HostLink;
@@ -35,6 +36,7 @@
 use super::share_report::ShareReport;
 use super::shared::Shared;
 use super::speeds;
+use super::stored_head::StoredHead;
 use super::turns::Turns;
 use super::waits::WaitReport;
 use crate::clock::wall_ms;
@@ -116,14 +118,7 @@
             retention: Millis::from_secs(bounds.shown_s + 30),
             policies: shared.settings.policies(),
         };
-        let runs_known = now + settings.inherited_lease;
-        let log = Log::new(
-            Arc::clone(&shared),
-            epoch,
-            revision,
-            events.clone(),
-            runs_known,
-        );
+        let log = Log::new(Arc::clone(&shared), epoch, revision, events.clone());
         let archiver = Archiver::new(Arc::clone(&shared), revision, events.clone());
         let run_times = RunTimesWriter::new(Arc::clone(&shared), revision);
         let mut scheduler = WorkflowScheduler::new(settings, now);
@@ -315,12 +310,22 @@
         let mut turns = Turns::default();
         self.progress
             .begin(RestoreStep::NoteBatches, self.shared.now());
+        if let StoredHead::Present(_, revision) = &restored.head {
+            self.log.add_head(*revision);
+        }
+        for (key, part) in restored.parts {
+            turns.count(part.batches.iter().map(Vec::len).sum()).await;
+            self.log.add_part(&key, part);
+        }
         for (key, records) in restored.batches {
             turns.count(records.len()).await;
             self.log.add_batch(&key, records);
         }
-        if !restored.is_readable {
-            self.log.disable_compaction();
+        if restored.is_readable {
+            let head = restored.head.head().cloned();
+            tokio::spawn(self.log.sweep(head).run());
+        } else {
+            self.log.disable_checkpoints();
         }
         for action in restored.actions {
             turns.count(1).await;
@@ -419,15 +424,15 @@
                 // Fails only when the task that found the jobs has ended.
                 let _ = answer.send(is_current);
             }
-            OwnerEvent::RemovalAnswered(is_confirmed) => self.log.end_removal(is_confirmed),
             OwnerEvent::ArchiveAnswered(is_confirmed) => {
-                self.archiver.finish(&mut self.scheduler, is_confirmed);
+                let moved = self.archiver.finish(&mut self.scheduler, is_confirmed);
+                self.log.forget_jobs(&moved);
             }
             OwnerEvent::ArchiveDue => self.archiver.advance(&mut self.scheduler),
             OwnerEvent::EndedFound(found) => self.archiver.add_found(&mut self.scheduler, found),
-            OwnerEvent::Compacted(outcome) => self.log.finish_compaction(outcome, now),
-            OwnerEvent::LogWritten(number, was_answered) => {
-                self.log.finish_write(was_answered);
+            OwnerEvent::Checkpoint(event) => self.log.finish_checkpoint(event),
+            OwnerEvent::LogWritten(number) => {
+                self.log.finish_write();
                 self.finish_write(number, actions);
             }
             OwnerEvent::TakeoverWanted => self.yield_ownership(),
@@ -763,17 +768,14 @@
         self.log.write();
     }
 
-    /// Begins to archive ended jobs, to remove log batches from the store, or to shorten its log, when
-    /// that is due.
+    /// Begins to archive ended jobs, or to write a checkpoint of the log, when that is due.
     fn clean_up(&mut self) {
         let now = self.shared.now();
         self.archiver.advance(&mut self.scheduler);
-        let scheduler = &self.scheduler;
-        if self.log.may_remove(now) {
-            // Batches that are being merged are not discarded meanwhile.
-            self.log.discard_batches(|job| scheduler.has_job(job));
-            self.log.remove(now);
-        }
-        self.log.compact(now, |job| scheduler.job_fate(job));
+        let view = SchedulerView {
+            scheduler: &self.scheduler,
+            runs_known: self.scheduler.runs_known(now),
+        };
+        self.log.advance_checkpoint(&view, now);
     }
 }
--- a/wigeongate/src/entry/ownership.rs
+++ b/wigeongate/src/entry/ownership.rs
@@ -140,7 +140,8 @@
                 // Another gate may have taken over meanwhile, and a read costs less than a lease.
                 let is_free = read_ownership(shared).await?.owner.is_none();
                 let earlier = earlier.as_ref();
-                if is_free && take_over(shared, advice_client, process, earlier, release).await? {
+                let takeover = take_over(shared, advice_client, process, earlier, release);
+                if is_free && Box::pin(takeover).await? {
                     return Ok(());
                 }
             }
--- a/wigeongate/tests/entry/archive.rs
+++ b/wigeongate/tests/entry/archive.rs
@@ -7,7 +7,7 @@
 use wigeongate::entry::records::{EndedRecord, encode};
 use wigeongate_core::workflow::WorkflowStatus;
 
-use crate::compaction::store_job;
+use crate::checkpoint::store_job;
 use crate::platform::{Platform, StoreFault};
 use crate::{Gate, KEY, start_deployment, wait_until};
 
