Test that what a new owner reads follows the open jobs

Nothing counted it. Change: an entry test runs 200 open jobs and 300 short ones through two gates, waits until the store has settled, kills the owner and counts what the other gate reads until its first call to an executor (pages, keys and bytes, by prefix). 900 short jobs may cost 1.3 times of that: with one owner until the end, with four takeovers on the way, and with four takeovers in a row, 3 s apart, before the one that counts. traffic.rs counts in the stand-in. A gate of the tests has one client, which opens a connection for each call as before: building one for each call took up to 100 ms in the dev profile. No product code.

--- a/wigeongate/tests/client_limits.rs
+++ b/wigeongate/tests/client_limits.rs
@@ -12,6 +12,9 @@
 #[expect(dead_code, reason = "other tests use more of it")]
 #[path = "entry/platform.rs"]
 mod platform;
+#[expect(dead_code, reason = "other tests use more of it")]
+#[path = "entry/traffic.rs"]
+mod traffic;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
--- a/wigeongate/tests/entry/gate.rs
+++ b/wigeongate/tests/entry/gate.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
+use reqwest::Client;
 use serde_json::{Value, json};
-use wigeongate::client::client_trusting_system;
+use wigeongate::client::install_crypto_provider;
 
 use crate::platform::Platform;
 
@@ -44,6 +45,7 @@
     pub peer: SocketAddr,
     pub metrics: SocketAddr,
     settings: PathBuf,
+    client: Client,
 }
 
 impl Drop for Gate {
@@ -79,6 +81,13 @@
     Stdio::from(std::fs::File::create(file).expect("a log file"))
 }
 
+/// Returns a client that opens a connection for each call.
+fn client() -> Client {
+    install_crypto_provider();
+    let builder = Client::builder().no_proxy().pool_max_idle_per_host(0);
+    builder.build().expect("a client")
+}
+
 impl Gate {
     pub async fn start(platform: &Platform, name: &str) -> Self {
         Self::start_at(platform.address, name).await
@@ -121,13 +130,14 @@
             peer,
             metrics,
             settings,
+            client: client(),
         }
     }
 
     pub async fn wait_ready(&self) {
         let url = format!("http://{}/api/ready", self.ready);
         wait_until("the gate is ready", async || {
-            let answer = client_trusting_system().get(&url).send().await.ok()?;
+            let answer = self.client.get(&url).send().await.ok()?;
             (answer.status() == 200).then_some(())
         })
         .await;
@@ -135,9 +145,9 @@
 
     /// Sends a request to the gate; the answer is empty if the request fails.
     pub async fn call(&self, method: &str, path: &str, key: &str, body: &Value) -> Answer {
-        let client = client_trusting_system();
         let method = reqwest::Method::from_bytes(method.as_bytes()).expect("a method");
-        let sent = client
+        let sent = self
+            .client
             .request(method, format!("http://{}{path}", self.callers))
             .header("Host", "desk.example")
             .header("Authorization", format!("Token {key}"))
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -12,11 +12,13 @@
 mod outages;
 mod platform;
 mod restarts;
+mod restore_growth;
 mod retention;
 mod routes;
 mod run_times;
 mod slow_process;
 mod stored_records;
+mod traffic;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -16,6 +16,8 @@
 use warp::Filter;
 use warp::http::{Response, StatusCode};
 
+use crate::traffic::Traffic;
+
 /// How late a delayed write is carried out.
 pub const WRITE_DELAY: Duration = Duration::from_secs(2);
 
@@ -171,6 +173,8 @@
     fault: Mutex<StoreFault>,
     /// Writes that are carried out later, with their times.
     delayed: Mutex<Vec<(Instant, Value)>>,
+    /// What gates read, and when owners call executors.
+    pub traffic: Arc<Traffic>,
 }
 
 impl Store {
@@ -283,7 +287,12 @@
             return reply(503, &json!({}));
         }
         match (method, path) {
-            ("GET", "/api/kv-key") => self.get(&query),
+            ("GET", "/api/kv-key") => {
+                let answer = self.get(&query);
+                self.traffic
+                    .note_read(&query["key"], 1, answer.body().len());
+                answer
+            }
             ("GET", "/api/kv-range") => self.range(&query),
             ("GET", "/api/kv-watch") => self.watch(&query).await,
             ("POST", "/api/kv-txn")
@@ -348,14 +357,17 @@
             .map(|(key, entry)| StoreData::item(key, entry))
             .collect();
         let page: Vec<&Value> = found.iter().take(500).collect();
-        reply(
+        let answer = reply(
             200,
             &json!({
                 "items": page,
                 "more_pages": found.len() > 500,
                 "current_rev": data.revision,
             }),
-        )
+        );
+        self.traffic
+            .note_read(prefix, page.len(), answer.body().len());
+        answer
     }
 
     async fn watch(&self, query: &HashMap<String, String>) -> Reply {
@@ -495,6 +507,7 @@
     state: Mutex<ExecutorState>,
     started: Arc<Mutex<Vec<StartedRun>>>,
     link: Mutex<Link>,
+    traffic: Arc<Traffic>,
 }
 
 /// What the connections to an executor do.
@@ -584,6 +597,7 @@
             }
             state.fence = fence;
         }
+        self.traffic.note_call(fence);
         match path {
             "/api/run-start" => self.start(&body),
             "/api/run-stop" => {
@@ -756,6 +770,7 @@
             state: Mutex::default(),
             started: Arc::clone(&self.started),
             link: Mutex::default(),
+            traffic: Arc::clone(&self.store.traffic),
         });
         self.executors.insert(id.to_owned(), executor);
         let address = self.listen(id, None).await;
