--- a/wigeongate-bench/src/serve_soak.rs
+++ b/wigeongate-bench/src/serve_soak.rs
@@ -1,13 +1,15 @@
-//! Gates of `serve`, executors and a store as real processes under faults that overlap, and a check
-//! that no task runs twice.
+//! Gates of `serve`, executors and a store as real processes under faults that overlap, a check that
+//! no task runs twice, and one that callers are served after all gates were lost at the end.
 
 mod check;
+mod ending;
 pub mod executor;
 mod faults;
 mod http;
 mod lines;
 mod proxy;
 mod site;
+mod slow_process;
 pub mod store;
 mod work;
 
@@ -23,11 +25,12 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use self::check::{Break, Run};
+use self::ending::{Ending, Recovery};
 use self::faults::{Fault, Kind};
 use self::site::Site;
 use self::work::Jobs;
 
-/// How long jobs may take after the last fault, in seconds.
+/// How long jobs may take after the last fault, and again after the end, in seconds.
 const SETTLE_S: u64 = 40;
 
 /// What to try.
@@ -51,6 +54,12 @@
     /// How many jobs in a hundred are cancelled.
     #[bpaf(fallback(12))]
     cancels: u32,
+    /// How many short jobs are submitted a second, beside the others.
+    #[bpaf(fallback(0))]
+    short: u32,
+    /// The share of a core that each gate has after all were lost, in thousandths.
+    #[bpaf(fallback(1_000))]
+    share: u32,
     /// The kinds of faults, separated by commas; without it all but suspensions.
     #[bpaf(fallback(String::new()))]
     only: String,
@@ -85,6 +94,8 @@
     unreported: BTreeMap<String, usize>,
     /// How the first runs of overlaps were counted as ended, and how often.
     proofs: BTreeMap<String, usize>,
+    /// How callers were served after all gates were lost at the end.
+    recovery: Recovery,
 }
 
 /// Returns a time of day as in the logs of gates.
@@ -108,9 +119,9 @@
         .worker_threads(2)
         .enable_all()
         .build()?;
-    let jobs = runtime.block_on(async {
+    let (jobs, ending) = runtime.block_on(async {
         tokio::select! {
-            jobs = play(options, &faults, &folder) => jobs,
+            played = play(options, &faults, &folder) => played,
             _ = tokio::signal::ctrl_c() => bail!("the play was ended"),
         }
     })?;
@@ -119,9 +130,12 @@
     let lines = lines::read(&folder.join("runs.jsonl"));
     let runs = check::runs(&lines);
     let breaks = check::breaks(&runs);
-    let figures = figures(options, &faults, &jobs, &runs, &breaks, &folder);
+    let recovery = ending.recovery(&runs);
+    let figures = figures(options, &faults, &jobs, &runs, &breaks, &folder, recovery);
     println!("{}", serde_json::to_string(&figures)?);
-    if breaks.is_empty() && figures.lost.is_empty() && figures.open.is_empty() {
+    let missed = &figures.recovery.missed;
+    if breaks.is_empty() && figures.lost.is_empty() && figures.open.is_empty() && missed.is_empty()
+    {
         if options.keep {
             return Ok(());
         }
@@ -135,7 +149,7 @@
     };
     bail!(
         "broken; logs in {}; wigeongate-bench serve-soak --seed {} --seconds {} --gates {} \
-         --executors {} --slow {} --cancels {}{only} --logs FOLDER",
+         --executors {} --slow {} --cancels {} --short {} --share {}{only} --logs FOLDER",
         folder.display(),
         options.seed,
         options.seconds,
@@ -143,10 +157,16 @@
         options.executors,
         options.slow,
         options.cancels,
+        options.short,
+        options.share,
     )
 }
 
-async fn play(options: &ServeSoakOptions, faults: &[Fault], folder: &Path) -> Result<Jobs> {
+async fn play(
+    options: &ServeSoakOptions,
+    faults: &[Fault],
+    folder: &Path,
+) -> Result<(Jobs, Ending)> {
     let started = Site::start(folder, options.gates, options.executors, options.slow).await;
     let site = Arc::new(started?);
     let jobs = Arc::new(Jobs::default());
@@ -172,6 +192,13 @@
         options.cancels,
         until,
     ));
+    let short = tokio::spawn(work::submit_short(
+        Arc::clone(&site),
+        Arc::clone(&jobs),
+        options.seed,
+        options.short,
+        until,
+    ));
     let mut running = tokio::task::JoinSet::new();
     for fault in faults {
         sleep_until(begin + Duration::from_millis(fault.at)).await;
@@ -181,11 +208,17 @@
         done??;
     }
     callers.await?;
+    short.await?;
+    // A backlog of the play is no measure of how service returns.
+    work::settle(&site, &jobs, Instant::now() + Duration::from_secs(SETTLE_S)).await;
+    let share = f64::from(options.share) / 1e3;
+    let ending = ending::lose_gates(&site, &jobs, options.seed, share).await?;
     let until = Instant::now() + Duration::from_secs(SETTLE_S);
     work::settle(&site, &jobs, until).await;
     restarts.abort();
     let _ = restarts.await;
-    Arc::try_unwrap(jobs).map_err(|_| eyre::eyre!("jobs are still in use"))
+    let jobs = Arc::try_unwrap(jobs).map_err(|_| eyre::eyre!("jobs are still in use"))?;
+    Ok((jobs, ending))
 }
 
 fn figures(
@@ -195,6 +228,7 @@
     runs: &[Run],
     breaks: &[Break],
     folder: &Path,
+    recovery: Recovery,
 ) -> Figures {
     let mut by_kind = BTreeMap::new();
     for fault in faults {
@@ -246,6 +280,7 @@
         }),
         unreported,
         proofs,
+        recovery,
     }
 }
 
--- a/wigeongate-bench/src/serve_soak/faults.rs
+++ b/wigeongate-bench/src/serve_soak/faults.rs
@@ -15,6 +15,12 @@
 use super::proxy::{Flow, Proxy};
 use super::site::{Executor, Site};
 
+/// How often the owner is killed in a row.
+const TAKEOVERS: usize = 5;
+
+/// The pause between changes of the configuration, in milliseconds.
+const CHANGE_PAUSE_MS: u64 = 300;
+
 /// A kind of fault.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, derive_more::Display)]
 pub enum Kind {
@@ -95,10 +101,16 @@
     /// An executor is killed and restarts under its identifier.
     #[display("kill-executor")]
     KillExecutor,
+    /// Each owner is killed a few seconds after it took over.
+    #[display("kill-owners")]
+    KillOwners,
+    /// The configuration changes several times a second.
+    #[display("change-configuration")]
+    ChangeConfiguration,
 }
 
 /// All kinds.
-const KINDS: [Kind; 25] = [
+const KINDS: [Kind; 27] = [
     Kind::FreezeOwner,
     Kind::FreezeExecutor,
     Kind::FreezeAll,
@@ -124,6 +136,8 @@
     Kind::ReplaceSilent,
     Kind::KillOwner,
     Kind::KillExecutor,
+    Kind::KillOwners,
+    Kind::ChangeConfiguration,
 ];
 
 impl FromStr for Kind {
@@ -232,15 +246,20 @@
         | Kind::ReplaceSilent => {
             shut_down(&site, fault, executor).await?;
         }
-        Kind::KillOwner => {
-            let owner = site.owner().await;
-            note(kind, &owner.name);
-            owner.signal(Signal::SIGKILL);
-            while !owner.has_ended() {
-                pause(5).await;
+        Kind::KillOwner => kill_owner(&site, kind, 200 + fault.more / 5).await?,
+        Kind::KillOwners => {
+            for _ in 0..TAKEOVERS {
+                kill_owner(&site, kind, 200 + fault.more / 20).await?;
+                pause(fault.ms / 2).await;
+            }
+        }
+        Kind::ChangeConfiguration => {
+            note(kind, &format!("for {} ms", fault.ms));
+            for _ in 0..fault.ms / CHANGE_PAUSE_MS {
+                // The next change replaces one that the store did not take.
+                site.change_configuration().await;
+                pause(CHANGE_PAUSE_MS).await;
             }
-            pause(200 + fault.more / 5).await;
-            owner.restart()?;
         }
         Kind::KillExecutor => {
             note(kind, &executor.id);
@@ -253,6 +272,19 @@
     Ok(())
 }
 
+/// Kills the owner and starts it again after a while.
+async fn kill_owner(site: &Site, kind: Kind, away_ms: u64) -> Result<()> {
+    let owner = site.owner().await;
+    note(kind, &owner.name);
+    owner.signal(Signal::SIGKILL);
+    while !owner.has_ended() {
+        pause(5).await;
+    }
+    pause(away_ms).await;
+    owner.restart()?;
+    Ok(())
+}
+
 /// Stops processes for a while, and the clocks of suspended executors with them.
 async fn freeze(site: &Site, fault: Fault, executor: &Executor) {
     let Fault { kind, ms, .. } = fault;
--- a/wigeongate-bench/src/serve_soak/site.rs
+++ b/wigeongate-bench/src/serve_soak/site.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -71,6 +71,8 @@
     lines: Lines,
     /// Where executors with odd numbers have slow clocks.
     slow: u64,
+    /// The number of the newest configuration.
+    version: AtomicU64,
 }
 
 /// Addresses on loopback that only this process gives out.
@@ -209,6 +211,7 @@
             net,
             lines: Lines::open(&folder.join("runs.jsonl"))?,
             slow,
+            version: AtomicU64::new(0),
         };
         site.configure().await?;
         for number in 0..executors {
@@ -260,17 +263,34 @@
     }
 
     async fn configure(&self) -> Result<()> {
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until {
+            if self.change_configuration().await {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(eyre!("the store does not accept the configuration"))
+    }
+
+    /// Writes the next version of the configuration, which changes the team's weight and moves a route
+    /// that nobody uses; returns whether the store confirms it.
+    pub async fn change_configuration(&self) -> bool {
+        let version = self.version.fetch_add(1, Ordering::Relaxed) + 1;
+        let route = |name: &str| {
+            json!({
+                "name": name, "host": "desk.example", "prefix": format!("/{name}/"),
+                "service": "desk", "kind": "unsafe", "priority": 1, "max_attempts": 3,
+                "stretch": 2.0, "target_latency_ms": 500, "public": false,
+            })
+        };
         let config = json!({
-            "version": 1,
-            "routes": [{
-                "name": "q", "host": "desk.example", "prefix": "/q/", "service": "desk",
-                "kind": "unsafe", "priority": 1, "max_attempts": 3, "stretch": 2.0,
-                "target_latency_ms": 500, "public": false,
-            }],
+            "version": version,
+            "routes": [route("q"), route(&format!("unused-{}", version % 3))],
             "services": [{ "name": "desk", "health_path": "/health" }],
             "limits": { "max_body_bytes": 10_000 },
             "tenants": [{
-                "name": "branch", "api_keys": [KEY], "weight": 10,
+                "name": "branch", "api_keys": [KEY], "weight": 10 + version % 5,
                 "maximum": { "cpu": 0, "mem_mb": 0, "gpu": 0 },
             }],
         });
@@ -278,15 +298,27 @@
             "key": "op/config", "value": STANDARD.encode(config.to_string()), "lease": 0,
         });
         let body = json!({ "expected_rev": [], "puts": [row], "remove": [] });
-        let until = Instant::now() + Duration::from_secs(10);
-        while Instant::now() < until {
-            let done = self.store_call("POST", "/api/kv-txn", &body).await;
-            if done.is_some_and(|(status, _)| status == 200) {
-                return Ok(());
-            }
-            sleep(Duration::from_millis(20)).await;
+        let done = self.store_call("POST", "/api/kv-txn", &body).await;
+        done.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Returns the number of keys in the store with a prefix.
+    pub async fn count(&self, prefix: &str) -> usize {
+        let mut count = 0;
+        let mut after = String::new();
+        loop {
+            let path = format!("/api/kv-range?prefix={prefix}&after={after}");
+            let page = self.store_call("GET", &path, &Value::Null);
+            let Some((_, page)) = page.await else {
+                return count;
+            };
+            let Some(last) = page["items"].as_array().and_then(|items| items.last()) else {
+                return count;
+            };
+            count += page["items"].as_array().map_or(0, Vec::len);
+            let last = last["key"].as_str().unwrap_or_default();
+            last.clone_into(&mut after);
         }
-        Err(eyre!("the store does not accept the configuration"))
     }
 
     async fn store_call(&self, method: &str, path: &str, body: &Value) -> Option<(u16, Value)> {
@@ -316,6 +348,26 @@
         named.unwrap_or(&self.gates[0])
     }
 
+    /// Kills the processes of all gates at once, and starts them again once all have ended.
+    pub async fn restart_gates(&self) -> Result<()> {
+        for gate in &self.gates {
+            gate.signal(Signal::SIGKILL);
+        }
+        while !self.gates.iter().all(Gate::has_ended) {
+            sleep(Duration::from_millis(2)).await;
+        }
+        for gate in &self.gates {
+            gate.restart()?;
+        }
+        Ok(())
+    }
+
+    /// Returns the processes of the gates that run.
+    pub fn gate_ids(&self) -> Vec<u32> {
+        let ids = self.gates.iter();
+        ids.filter_map(|gate| locked(&gate.process).id()).collect()
+    }
+
     /// Returns the executors whose processes run.
     pub fn executors(&self) -> Vec<Arc<Executor>> {
         locked(&self.executors).clone()
--- a/wigeongate/tests/entry/slow_process.rs
+++ b/wigeongate-bench/src/serve_soak/slow_process.rs
@@ -25,7 +25,7 @@
 }
 
 impl SlowProcesses {
-    /// Holds processes of this one to a share of a processor each.
+    /// Holds these processes to a share of a processor each.
     pub fn start(ids: impl IntoIterator<Item = u32>, share: f64) -> Self {
         let quota = PERIOD.mul_f64(share);
         let processes: Vec<Held> = ids.into_iter().map(Held::new).collect();
--- a/wigeongate-bench/src/serve_soak/work.rs
+++ b/wigeongate-bench/src/serve_soak/work.rs
@@ -7,10 +7,13 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde_json::{Value, json};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 use super::site::Site;
 
+/// The number of the first short job.
+const FIRST_SHORT: u64 = 0x1000_0000;
+
 /// What is known of a job.
 #[derive(Debug, Clone, Default)]
 pub struct Job {
@@ -40,6 +43,11 @@
     }
 }
 
+/// Returns the identifier of a job.
+pub fn job_id(seed: u64, number: u64) -> String {
+    format!("{:08x}{number:08x}", seed & 0xffff_ffff)
+}
+
 /// Submits jobs until the given time.
 pub async fn submit(site: Arc<Site>, jobs: Arc<Jobs>, seed: u64, cancels: u32, until: Instant) {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x9e37_79b9);
@@ -47,7 +55,7 @@
     let mut callers = tokio::task::JoinSet::new();
     while Instant::now() < until {
         number += 1;
-        let id = format!("{:08x}{number:08x}", seed & 0xffff_ffff);
+        let id = job_id(seed, number);
         let step = |rng: &mut SmallRng, after: &[u32]| {
             json!({
                 "count": rng.random_range(1..5), "cpu": 1_000, "mem_mb": 64,
@@ -69,7 +77,34 @@
     while callers.join_next().await.is_some() {}
 }
 
-async fn call(
+/// Submits a number of short jobs a second until the given time.
+pub async fn submit_short(site: Arc<Site>, jobs: Arc<Jobs>, seed: u64, rate: u32, until: Instant) {
+    if rate == 0 {
+        return;
+    }
+    let body = json!({
+        "spec": "20 200",
+        "steps": [{ "count": 1, "cpu": 100, "mem_mb": 16, "estimate_ms": 100 }],
+    });
+    let mut ticks = interval(Duration::from_secs(1) / rate);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut callers = tokio::task::JoinSet::new();
+    for number in FIRST_SHORT.. {
+        ticks.tick().await;
+        if Instant::now() >= until {
+            break;
+        }
+        let id = job_id(seed, number);
+        let (site, jobs, body) = (Arc::clone(&site), Arc::clone(&jobs), body.clone());
+        callers.spawn(async move { call(&site, &jobs, &id, &body, None, number).await });
+        while callers.try_join_next().is_some() {}
+    }
+    while callers.join_next().await.is_some() {}
+}
+
+/// Submits a job and tries again for as long as no gate accepts it, and cancels it later if that is
+/// asked for.
+pub async fn call(
     site: &Site,
     jobs: &Jobs,
     id: &str,
@@ -99,6 +134,14 @@
     }
 }
 
+/// Submits a job once; returns whether a gate accepted it.
+pub async fn submit_once(site: &Site, jobs: &Jobs, id: &str, body: &Value, number: u64) -> bool {
+    let answer = ask(site, number, "POST", &format!("/q/{id}"), body).await;
+    let is_accepted = answer.is_some_and(|(status, _)| (200..300).contains(&status));
+    jobs.change(id, |job| job.accepted |= is_accepted);
+    is_accepted
+}
+
 async fn ask(
     site: &Site,
     number: u64,
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -16,6 +16,7 @@
 mod retention;
 mod routes;
 mod run_times;
+#[path = "../../../wigeongate-bench/src/serve_soak/slow_process.rs"]
 mod slow_process;
 mod stored_records;
 mod traffic;
