--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -14,12 +14,15 @@
 mod outages;
 mod platform;
 mod restarts;
+mod restore_growth;
 mod restore_turns;
 mod retention;
 mod routes;
 mod run_times;
+#[path = "../../../wigeongate-bench/src/serve_soak/slow_process.rs"]
 mod slow_process;
 mod stored_records;
+mod traffic;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
