Read a page again within the same takeover when the store refuses it

Cause: a restore made each call once. Measured: restore_turns::a_refused_page_is_read_again_within_the_same_takeover failed before ("reading log" with 503) and passes now.

--- a/wigeongate/src/entry/restore.rs
+++ b/wigeongate/src/entry/restore.rs
@@ -1,12 +1,15 @@
 //! Restores the state of earlier owners from the store when a gate has become the owner.
 
+use std::fmt::Display;
 use std::sync::Arc;
+use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use tracing::warn;
+use tokio::time::sleep;
+use tracing::{info, warn};
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{Action, CheckpointPart, Record, StoredJob, WorkflowScheduler};
-use wigeongate_platform::store::Item;
+use wigeongate_platform::store::{Item, Page, StoreError};
 
 use super::callers::job_age;
 use super::job_watch;
@@ -24,6 +27,12 @@
 /// narrow as well: two pages at a time gain nothing there, and each may take longer than its timeout.
 const MIN_PARALLEL_CORES: f64 = 0.25;
 
+/// How often the head or a page is read before the takeover is given up.
+const READ_ATTEMPTS: u32 = 4;
+
+/// The delay after a read that failed, in milliseconds.
+const READ_RETRY_MS: u64 = 100;
+
 /// A restore, with the parts of the new owner that it fills.
 #[derive(Debug)]
 pub struct Restore<'a> {
@@ -130,7 +139,7 @@
             tokio::spawn(run_times::read(Arc::clone(self.shared)))
         });
         self.begin(RestoreStep::ReadHead);
-        let head = StoredHead::read(&self.shared.store).await?;
+        let head = self.read_head().await?;
         self.end(RestoreStep::ReadHead, StepSize::default());
         let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX, "");
         let parts = self.read_parts(head.head());
@@ -155,6 +164,34 @@
         })
     }
 
+    async fn read_head(&self) -> Result<StoredHead> {
+        let mut attempt = 1;
+        loop {
+            match StoredHead::read(&self.shared.store).await {
+                Err(error) => {
+                    if !may_retry(&mut attempt, &error).await {
+                        return Err(error);
+                    }
+                }
+                read => return read,
+            }
+        }
+    }
+
+    async fn read_page(&self, prefix: &str, after: &str) -> Result<Page, StoreError> {
+        let mut attempt = 1;
+        loop {
+            match self.shared.store.range_page(prefix, after).await {
+                Err(error) => {
+                    if !may_retry(&mut attempt, &error).await {
+                        return Err(error);
+                    }
+                }
+                read => return read,
+            }
+        }
+    }
+
     /// Reads the parts of the checkpoint in force.
     async fn read_parts(&self, head: Option<&CheckpointHead>) -> Result<Vec<Item>> {
         let Some(head) = head.filter(|head| head.parts > 0) else {
@@ -174,25 +211,32 @@
         after: &str,
     ) -> Result<(Vec<Item>, u64)> {
         self.begin(step);
-        let (mut pages, mut items) = (0, 0);
-        let on_page = |page_items, bytes| {
+        let (mut pages, mut items) = (0, Vec::new());
+        let (mut first, mut after) = (None, after.to_owned());
+        loop {
+            let page = self.read_page(prefix, &after).await;
+            if page.is_err() {
+                self.progress.fail(step);
+            }
+            let count = items.len();
+            let page =
+                page.wrap_err_with(|| format!("{step}, after {count} items in {pages} pages"))?;
             pages += 1;
-            items += page_items;
             let size = StepSize {
-                items: page_items,
-                bytes,
+                items: page.items.len(),
+                bytes: page.bytes,
                 pages: 1,
             };
             self.progress.add(step, size);
-        };
-        let read = self.shared.store.range_pages(prefix, after, on_page).await;
-        if read.is_err() {
-            self.progress.fail(step);
+            first.get_or_insert(page.revision);
+            items.extend(page.items);
+            match items.last() {
+                Some(last) if page.has_more => after.clone_from(&last.key),
+                _ => break,
+            }
         }
-        let read =
-            read.wrap_err_with(|| format!("{step}, after {items} items in {pages} pages"))?;
         self.end(step, StepSize::default());
-        Ok(read)
+        Ok((items, first.unwrap_or_default()))
     }
 
     /// Decodes what was read; what cannot be decoded is skipped.
@@ -295,3 +339,15 @@
         actions
     }
 }
+
+/// Waits before another attempt to read from the store; returns false if there were enough. One call that the
+/// store refuses, or whose answer is lost, is no reason to begin the takeover anew.
+async fn may_retry(attempt: &mut u32, error: &impl Display) -> bool {
+    *attempt += 1;
+    if *attempt > READ_ATTEMPTS {
+        return false;
+    }
+    info!(%error, attempt, "owner: reading what is stored failed; trying again.");
+    sleep(Duration::from_millis(READ_RETRY_MS)).await;
+    true
+}
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -146,6 +146,8 @@
     RefusesRenewalsWithoutHistory,
     /// The store answers 503 to reads of the log.
     RefusesLog,
+    /// The store answers 503 to the first read of the log, and works from then on.
+    RefusesLogOnce,
 }
 
 impl StoreFault {
@@ -296,6 +298,10 @@
             return reply(503, &json!({}));
         }
         let is_log_read = path == "/api/kv-range" && query["prefix"].contains("/log/");
+        if fault == StoreFault::RefusesLogOnce && is_log_read {
+            self.set_fault(StoreFault::None);
+            return reply(503, &json!({}));
+        }
         if fault == StoreFault::RefusesLog && is_log_read {
             return reply(503, &json!({}));
         }
--- a/wigeongate/tests/entry/restore_turns.rs
+++ b/wigeongate/tests/entry/restore_turns.rs
@@ -19,7 +19,7 @@
     WorkflowSpec,
 };
 
-use crate::platform::Platform;
+use crate::platform::{Platform, StoreFault};
 
 const JOBS: usize = 1_500;
 
@@ -131,3 +131,24 @@
         assert!(turns >= wanted, "{name}: {turns} turns, {wanted} wanted");
     }
 }
+
+/// Guards against takeovers that are given up for one read that the store refuses: the more pages a restore
+/// reads, the less likely is one without a refused call, and every gate fares the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_page_is_read_again_within_the_same_takeover() {
+    let platform = Platform::start(0).await;
+    store_state(&platform);
+    platform.store.set_fault(StoreFault::RefusesLogOnce);
+    let shared = Arc::new(Shared::new(EntrySettings {
+        store: platform.address,
+        ..EntrySettings::default()
+    }));
+    let mut scheduler = WorkflowScheduler::new(WorkflowSettings::default(), Millis::ZERO);
+    let restore = Restore {
+        shared: &shared,
+        progress: &RestoreProgress::default(),
+        scheduler: &mut scheduler,
+    };
+    let restored = restore.run().await.expect("the second read is answered");
+    assert_eq!((restored.jobs, restored.batches.len()), (JOBS, BATCHES));
+}
