Read what is archived 1 s after the restore

Cause: a new owner asked for the first page of ended jobs at the moment at which it asked for the list of hosts, so that up to 500 ended jobs came over its link before the first call to a host. Change: the first page follows 1 s after the restore. Callers who ask for an ended job before are answered from the store, as they were before the last page.

--- a/wigeongate/src/entry/archive.rs
+++ b/wigeongate/src/entry/archive.rs
@@ -29,6 +29,10 @@
 /// The time after each of these portions, in milliseconds.
 const PORTION_INTERVAL_MS: u64 = 25;
 
+/// The time from the restore to the first page of archived jobs that a new owner reads, in milliseconds. Until
+/// then the list of hosts and the first calls to them have the link for themselves.
+const FIRST_PAGE_DELAY_MS: u64 = 1_000;
+
 /// The time between two pages of archived jobs that a new owner reads, in milliseconds.
 const PAGE_INTERVAL_MS: u64 = 250;
 
@@ -170,6 +174,7 @@
 async fn read_ended(shared: Arc<Shared>, events: mpsc::UnboundedSender<OwnerEvent>) {
     let mut after = String::new();
     let mut count = 0;
+    sleep(Duration::from_millis(FIRST_PAGE_DELAY_MS)).await;
     while !events.is_closed() {
         let page = match shared.store.range_page(ENDED_PREFIX, &after).await {
             Ok(page) => page,
