Do not say that a job is gone which the owner cannot decode

Change: the gate looks at both keys again, and tells the caller to come back while the job is stored.

--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -354,11 +354,12 @@
         };
         match self.call_owner_retrying(PeerCall::Submit(job)).await {
             Some(PeerAnswer::Done) => Ok(Standing::Open),
-            // It was archived after it was read.
-            Some(PeerAnswer::Removed) => {
-                let ended = stored_job::read_ended(store, id).await?;
-                Ok(ended.map_or(Standing::Missing, Standing::Ended))
-            }
+            // It was archived after it was read, or the owner cannot decode it.
+            Some(PeerAnswer::Removed) => Ok(match stored_job::read(store, id).await? {
+                Some(FoundJob::Ended(status)) => Standing::Ended(status),
+                Some(FoundJob::Accepted(_)) => Standing::Unknown,
+                None => Standing::Missing,
+            }),
             _ => Ok(Standing::Unknown),
         }
     }
--- a/wigeongate/src/entry/stored_job.rs
+++ b/wigeongate/src/entry/stored_job.rs
@@ -30,7 +30,7 @@
 }
 
 /// Reads the status of an archived job; `None` if the store does not hold it.
-pub async fn read_ended(store: &Store, id: WorkflowId) -> Result<Option<WorkflowStatus>> {
+async fn read_ended(store: &Store, id: WorkflowId) -> Result<Option<WorkflowStatus>> {
     let Some(item) = store.get(&ended_key(id)).await? else {
         return Ok(None);
     };
