--- a/wigeongate/src/entry/lost_takeovers.rs
+++ b/wigeongate/src/entry/lost_takeovers.rs
@@ -18,9 +18,12 @@
 /// until an owner has restored the state. A killed owner or a short outage of the store costs one or two.
 const MAX_LOST: u32 = 3;
 
-/// The delay before a failed write is retried, in milliseconds.
+/// The delay before a failed read or write is retried, in milliseconds.
 const RETRY_DELAY_MS: u64 = 200;
 
+/// How often the newest restored epoch is read before that fails.
+const READ_ATTEMPTS: u32 = 3;
+
 #[derive(Debug, Default)]
 struct State {
     /// The epoch of the newest owner that this gate has seen.
@@ -110,8 +113,17 @@
 }
 
 /// Reads the newest epoch whose owner has restored the state; `None` if earlier versions have not written
-/// it, or if it cannot be decoded.
+/// it, or if it cannot be decoded. One call that fails is no reason to give up a takeover.
 pub async fn read_restored(shared: &Shared) -> Result<Option<u64>, StoreError> {
-    let item = shared.store.get(RESTORED_KEY).await?;
-    Ok(item.and_then(|item| decode(RESTORED_KEY, &item.value).ok()))
+    let mut attempt = 1;
+    loop {
+        match shared.store.get(RESTORED_KEY).await {
+            Ok(item) => {
+                return Ok(item.and_then(|item| decode(RESTORED_KEY, &item.value).ok()));
+            }
+            Err(error) if attempt == READ_ATTEMPTS => return Err(error),
+            Err(_) => attempt += 1,
+        }
+        sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+    }
 }
