--- a/wigeongate/src/entry/checkpoint.rs
+++ b/wigeongate/src/entry/checkpoint.rs
@@ -89,6 +89,7 @@
     /// Leaves the log as it is, because the store holds values that cannot be read.
     pub fn disable(&mut self) {
         self.checkpoint.freeze();
+        self.shared.metrics.count("checkpoints", "unreadable");
         warn!("checkpoint: the store holds values that cannot be read; the log stays as it is.");
     }
 
