--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -1,5 +1,7 @@
 //! The owner: feeds events to the scheduler and executes the actions that it decides on.
 
+mod run_reports;
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -7,20 +9,19 @@
 use eyre::Result;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
-use tracing::{debug, info, warn};
+use tracing::{debug, info};
 use wigeongate_core::collections::{HashMap, HashSet};
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostContact, HostEntry, HostReport, Intake, Proof, Record, StartOrder,
-    StoredJob, Submission, TaskName, WorkflowScheduler, WorkflowSettings,
+    Action, AdviceGates, HostEntry, Intake, Record, StartOrder, StoredJob, Submission, TaskName,
+    WorkflowScheduler, WorkflowSettings,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::archive::Archiver;
 use super::callers::job_age;
 use super::checkpoint::SchedulerView;
-use super::contact_ages::ContactAges;
 use super::forecasts::Forecasts;
 use super::hosts::HostLink;
 use super::job_watch;
@@ -555,30 +556,6 @@
         self.links.retain(|id, _| scheduler.has_host(id));
     }
 
-    fn log_ended_runs(&mut self, host: &HostId, report: &HostReport) {
-        let now = self.shared.now();
-        for ended in &report.ended {
-            if let Some(started) = self.start_times.remove(&(ended.task, ended.run)) {
-                let ran = now.since(started);
-                let how = ended.outcome.to_string();
-                let metrics = &self.shared.metrics;
-                metrics.record_duration("run", &how, ran);
-                let sample = self.scheduler.run_sample(host, ended, now);
-                if let Some(sample) = &sample {
-                    let (forecast, estimate) = (sample.forecast_error(), sample.estimate_error());
-                    metrics.record_percent("forecast_error", sample.queue.as_str(), forecast);
-                    metrics.record_percent("estimate_error", sample.queue.as_str(), estimate);
-                }
-                let sample = sample.as_ref();
-                info!(task = %ended.task, run = ended.run, host = %host, how, ran_ms = ran.0,
-                    measured_ms = sample.map(|sample| sample.ran.0),
-                    estimate_ms = sample.map(|sample| sample.estimate.0),
-                    forecast_ms = sample.map(|sample| sample.forecast.0),
-                    "owner: the run ended.");
-            }
-        }
-    }
-
     fn execute(&mut self, action: Action) {
         match action {
             Action::Start(order) => self.order_start(order),
@@ -681,55 +658,6 @@
         }
     }
 
-    /// Logs that a run ended without a report, what proves it, and what that rests on.
-    fn report_release(
-        &mut self,
-        host: &HostId,
-        (task, run): (TaskName, u32),
-        proof: Proof,
-        contact: HostContact,
-    ) {
-        self.shared.metrics.count("released", &proof.to_string());
-        let started = self.start_times.remove(&(task, run));
-        if proof == Proof::Refused {
-            return;
-        }
-        let now = self.shared.now();
-        let ran_ms = started.map(|at| now.since(at).0);
-        let owned_ms = now.since(self.began).0;
-        let contact = ContactAges::new(&contact, now);
-        info!(%task, run, %host, %proof, ran_ms, epoch = self.epoch, owned_ms, %contact,
-            "owner: the run ended without a report.");
-    }
-
-    /// Logs that a run goes on that counted as ended; its task may run twice.
-    fn report_return(
-        &self,
-        host: &HostId,
-        (task, run): (TaskName, u32),
-        newest: u32,
-        contact: HostContact,
-    ) {
-        self.shared.metrics.count("returned", "run");
-        let contact = ContactAges::new(&contact, self.shared.now());
-        warn!(%task, run, newest, %host, epoch = self.epoch, %contact,
-            "owner: a run that counted as ended goes on; its task may run twice.");
-    }
-
-    /// Logs the loss of a host with its runs.
-    fn report_loss(&self, host: &HostId, runs: usize, suspects: &[(TaskName, u32)]) {
-        let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
-        info!(%host, runs, suspects = names.join(" "), "owner: a host was lost with its runs.");
-        self.shared.metrics.count(
-            "host_lost",
-            if suspects.is_empty() {
-                "no suspect"
-            } else {
-                "suspects"
-            },
-        );
-    }
-
     /// Calls the advice service through the gate that the scheduler chose.
     fn advise(&self, call: AdviceCall) {
         let shared = Arc::clone(&self.shared);
