Count archived jobs in the soak's ending

Cause: the short soak in the tests asserts that more than 200 jobs are stored when all gates are lost, by their keys under job/.

--- a/wigeongate-bench/src/serve_soak/ending.rs
+++ b/wigeongate-bench/src/serve_soak/ending.rs
@@ -34,8 +34,10 @@
 /// What happened at the end of a play.
 #[derive(Debug)]
 pub struct Ending {
-    /// Jobs in the store when the gates were lost.
+    /// Jobs that a new owner restores when the gates were lost.
     stored: usize,
+    /// Archived jobs in the store then.
+    archived: usize,
     /// Batches of the log there.
     batches: usize,
     /// When all gates had been started again, on the steady clock in milliseconds.
@@ -49,6 +51,7 @@
 #[derive(Debug, Serialize)]
 pub struct Recovery {
     stored: usize,
+    archived: usize,
     batches: usize,
     /// From the restart to the first start of a task, in milliseconds.
     first_start_ms: Option<u64>,
@@ -76,6 +79,7 @@
     join_all(calls.map(|(number, id)| work::call(site, jobs, id, &body, None, number))).await;
     sleep(HELD_FOR).await;
     let stored = site.count("wigeongate/job/").await;
+    let archived = site.count("wigeongate/ended/").await;
     let batches = site.count("wigeongate/log/").await;
     site.restart_gates().await?;
     let restarted = steady_ms();
@@ -99,6 +103,7 @@
     drop(slow);
     Ok(Ending {
         stored,
+        archived,
         batches,
         restarted,
         held,
@@ -135,6 +140,7 @@
         }
         Recovery {
             stored: self.stored,
+            archived: self.archived,
             batches: self.batches,
             first_start_ms: first_start.map(|start| start - self.restarted),
             held: self.held.len(),
