--- a/review/standin-2/executor.rs
+++ b/review/standin-2/executor.rs
@@ -268,6 +268,30 @@
         Ok(executor)
     }
 
+    /// Is cut off from the gates for a while: connections are refused, and what runs goes on.
+    pub fn cut_off(self: &Arc<Self>, time: Duration) {
+        if let Some(server) = self.server.lock().unwrap().take() {
+            server.crash();
+        }
+        self.ledger.note(&format!(
+            "{}: cut off from the gates for {} ms",
+            self.id,
+            time.as_millis()
+        ));
+        let it = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(time);
+            let executor = Arc::clone(&it);
+            let server = serve(&it.address, move |request| Some(executor.answer(request)));
+            it.ledger.note(&format!(
+                "{}: within reach again: {}",
+                it.id,
+                server.is_ok()
+            ));
+            *it.server.lock().unwrap() = server.ok();
+        });
+    }
+
     /// Crashes; the registry forgets the executor after three intervals of silence.
     pub fn crash(&self) {
         self.down.store(true, Ordering::Relaxed);
