--- a/review/standin-2/site.rs
+++ b/review/standin-2/site.rs
@@ -18,7 +18,7 @@
 pub type Problem = String;
 
 pub const HOST: &str = "jobs.example";
-pub const PREFIX: &str = "/work/";
+pub const PREFIX: &str = "/jobs/";
 pub const URGENT_PREFIX: &str = "/urgent/";
 pub const KEY: &str = "key-of-one";
 pub const SERVICE: &str = "render";
