core: keep the start of a lost run until its loss is written

Seen: an owner that reads a checkpoint weighs crashes by fewer lost hosts than one that reads the whole log.

Cause: a job counts as ended for the checkpoint once its end is written and no run of it holds capacity. When the last run is lost with its host, the record of the loss is still to be written; in between the checkpoint drops the start, and the loss that arrives then names no host.

Change: the fate of a job waits for the newest record of such a loss.

Measured: the_start_of_a_lost_run_matters_until_the_loss_is_written fails on (Ended, Open expected) and passes now; the random histories pass.

--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -323,9 +323,10 @@
         out: &mut Vec<Action>,
     ) {
         for (task, run) in runs {
-            self.record(Record::Lost(task, run), out);
+            let number = self.record(Record::Lost(task, run), out);
             if let Some(job) = self.jobs.get_mut(&task.step.job) {
                 job.lost_runs = true;
+                job.loss_record = number;
             }
             self.release(id, (task, run), proof, now, out);
         }
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -163,6 +163,8 @@
     pub crashed: Millis,
     /// Whether runs of the job were lost with their hosts.
     pub lost_runs: bool,
+    /// Number of the newest record of such a loss.
+    pub loss_record: u64,
     /// Whether an earlier owner may have started tasks of the job.
     pub inherited: bool,
     /// The time by which the job should end, on the scheduler's clock.
@@ -191,6 +193,7 @@
             machines: Vec::new(),
             crashed: Millis::ZERO,
             lost_runs: false,
+            loss_record: 0,
             inherited: false,
             objective: Millis((now + time_budget).0.saturating_sub(age.0)),
             time_budget,
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -27,7 +27,9 @@
         let Some(job) = self.jobs.get(&id) else {
             return JobFate::Removed;
         };
-        let has_ended = job.end.is_some() && self.is_written(job.end_record);
+        // A loss names its host by the start, which is kept until the loss is written.
+        let last = job.end_record.max(job.loss_record);
+        let has_ended = job.end.is_some() && self.is_written(last);
         if has_ended && job.is_settled() {
             JobFate::Ended
         } else {
--- a/wigeongate-core/tests/workflow/log_checkpoint.rs
+++ b/wigeongate-core/tests/workflow/log_checkpoint.rs
@@ -6,8 +6,8 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, CheckpointSettings, CheckpointWrite, JobFate, LogCheckpoint, OwnerView, PollFailure,
-    Record, WorkflowId, WorkflowScheduler, WorkflowSettings, WorkflowStatus,
+    Action, CheckpointSettings, CheckpointWrite, HostReport, JobFate, LogCheckpoint, OwnerView,
+    PollFailure, Record, WorkflowId, WorkflowScheduler, WorkflowSettings, WorkflowStatus,
 };
 
 use crate::world::{Faults, Rng, StoredLog, World, flow, host, rules, step};
@@ -584,3 +584,36 @@
         assert_eq!(is_suspect, case.is_suspect, "{}: {actions:?}", case.name);
     }
 }
+
+/// Guards against a start that a checkpoint drops before the loss of its run is written, so that the next
+/// owner does not know which host was lost.
+#[test]
+fn the_start_of_a_lost_run_matters_until_the_loss_is_written() {
+    let mut world = World::new(
+        1,
+        vec![host(0, 8 * CORE)],
+        rules(3, Resources::UNBOUNDED),
+        Faults::default(),
+    );
+    world.run_ms = 10_000;
+    world.run_for(100);
+    world.submit(flow(1, vec![step(1, CORE)], None));
+    world.run_for(100);
+    let id = host(0, 8 * CORE).id;
+    let now = Millis(world.now);
+    let owner = &mut world.scheduler;
+    let mut actions = Vec::new();
+    owner.cancel(WorkflowId(1), now, &mut actions);
+    owner.records_written(owner.last_record(), now, &mut actions);
+    let restarted = HostReport {
+        boot_ms: 2,
+        sent: now,
+        lease: now + Millis(3_000),
+        ..HostReport::default()
+    };
+    owner.apply_report(&id, &restarted, now, &mut actions);
+    assert!(!owner.is_written(owner.last_record()));
+    assert_eq!(owner.job_fate(WorkflowId(1)), JobFate::Open);
+    owner.records_written(owner.last_record(), now, &mut actions);
+    assert_eq!(owner.job_fate(WorkflowId(1)), JobFate::Ended);
+}
