core: give a job up only for crashes that are proved

Cause: a suspicion became a proof by waiting. A refused connection makes the runs on a host suspects of its crash; when the leases had run out, that judgement was settled like one whose end another boot had shown, and the next report of the same boot found nothing to take back. Trace on: run 1 ends with proof "lease expired" at 7.7 s, exec-1 answers with its old boot at 10.0 s, and the verdict at 22.7 s names run 1 on exec-1.

Change: only proved crashes count towards a verdict. The proof is another boot of the host, another executor at its address, or two seconds outside the registry in fresh views. What is open (process, time, runs) is kept in crash_proofs.rs and outlives the release of the runs, other verdicts and the owner: CrashedOn names the boot, CrashProved is the proof, and both go to checkpoints. Crashes that the version before recorded are read, with the boot of the run's start. An answer of the same boot takes the suspicion back whenever it comes, also from the queue and from the neighbours, which were suspected next. A task that would be given up if all crashes under it were proved waits for 1.5 s for the proof, so that a bad task costs no further host meanwhile. Machines lost under a job come last for its tasks.

a_new_owner_that_gives_a_job_up_reports_the_verdict expected a verdict from unproved crashes; it now expects none before the proof, the verdict with it, and two crashes as before.

--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_proofs::HostBoot;
 use super::evidence::Evidence;
 use super::host::RunKey;
 use super::spec::{TaskName, WorkflowId};
@@ -27,7 +28,7 @@
 const MAX_CRASHES: usize = 4;
 
 /// A crash of a host under a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
     /// Number of the run.
     pub run: u32,
@@ -35,6 +36,9 @@
     pub sole: bool,
     /// Whether the run had just started.
     pub young: bool,
+    /// Whether the host's process is known to have ended; stored as a record of its own.
+    #[serde(skip)]
+    pub proved: bool,
 }
 
 /// A run that was lost with its host.
@@ -48,12 +52,23 @@
     pub crashes: usize,
 }
 
+/// Where and when a host seems to have crashed.
+#[derive(Debug, Clone)]
+pub struct Scene {
+    /// The process that was lost.
+    pub boot: HostBoot,
+    /// Address of the host, `IP:PORT`.
+    pub machine: String,
+    /// When the process was lost.
+    pub lost: Millis,
+}
+
 /// A crash whose suspects had just started, and the other recent runs on the host. These are to be
 /// suspected once every job that was accused has been cleared.
 #[derive(Debug)]
 pub struct Accusation {
-    /// Address of the host, `IP:PORT`.
-    pub machine: String,
+    /// The crash.
+    pub scene: Scene,
     /// The jobs of the suspects that are not cleared.
     pub accused: Vec<WorkflowId>,
     /// The tasks of the other runs that were not old, and what the crash proves against each.
@@ -106,14 +121,14 @@
     pub fn accusation(
         &self,
         others: Vec<(TaskName, Evidence)>,
-        machine: &str,
+        scene: &Scene,
     ) -> Option<Accusation> {
         let mut accused: Vec<WorkflowId> = Vec::new();
         accused.extend(self.suspects.iter().map(|(task, _)| task.step.job));
         accused.sort_unstable();
         accused.dedup();
         (self.young && !others.is_empty()).then(|| Accusation {
-            machine: machine.to_owned(),
+            scene: scene.clone(),
             accused,
             others,
         })
@@ -133,7 +148,7 @@
     }
 }
 
-/// Returns whether the crashes under a task are enough to give it up, if they are no coincidence.
+/// Returns whether proved crashes under a task are enough to give it up, if they are no coincidence.
 pub fn is_convicted(crashes: &[Crash], evidence: &[Evidence]) -> bool {
     // A start that got no answer may not have begun.
     let is_unanswered = |run: u32| evidence.iter().any(|it| it.run == run && it.unanswered);
--- a/wigeongate-core/src/workflow/freshness.rs
+++ b/wigeongate-core/src/workflow/freshness.rs
@@ -12,7 +12,7 @@
 
 /// The time after the return of the store by which hosts have written what they could not write
 /// before, in milliseconds: a heartbeat and its delay.
-const CATCH_UP_MS: u64 = 2_000;
+pub(super) const CATCH_UP_MS: u64 = 2_000;
 
 /// The greatest age of a view on which a start may rest, in milliseconds. The watches are answered
 /// every second; one answer may get lost.
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -1,6 +1,7 @@
 //! The state of a host that runs tasks.
 
 use super::crash::Blame;
+use super::crash_proofs::HostBoot;
 use super::host_loss::Failing;
 use super::spec::{StepId, TaskName, WorkflowId};
 use crate::collections::HashMap;
@@ -289,6 +290,21 @@
         }
     }
 
+    /// Returns the process that is lost with the host.
+    pub fn lost_boot(&self) -> HostBoot {
+        // Of a host that has not reported to this owner, only the log names the boot.
+        let logged = self.claims.values().map(|claim| claim.boot_ms);
+        let logged = logged.filter(|boot_ms| *boot_ms != 0).min();
+        HostBoot {
+            host: self.entry.id.clone(),
+            boot_ms: if self.boot_ms == 0 {
+                logged.unwrap_or_default()
+            } else {
+                self.boot_ms
+            },
+        }
+    }
+
     /// Returns whether the host has ever reported to this owner.
     pub fn has_reported(&self) -> bool {
         self.reported > Millis::ZERO
--- a/wigeongate-core/src/workflow/host_choice.rs
+++ b/wigeongate-core/src/workflow/host_choice.rs
@@ -140,8 +140,8 @@
         })
     }
 
-    /// Returns the best host for one task: first by not being the host of its last failure, then by not
-    /// being slow, by being on the preferred rack, by leaving faster hosts to urgent tasks, then by the
+    /// Returns the best host for one task: first by not being the host of its last failure or a machine
+    /// that was lost under its job, which may be lost again, then by not being slow, by being on the preferred rack, by leaving faster hosts to urgent tasks, then by the
     /// least free processor capacity. A suspect goes first
     /// to where its job is on trial, then to where the least would be lost with it.
     pub(super) fn best_host(
@@ -150,11 +150,13 @@
         last_failed_host: Option<&HostId>,
     ) -> Option<HostId> {
         let one = Need { count: 1, ..*need };
+        let job = self.jobs.get(&need.step.job);
+        let lost: &[String] = job.map_or(&[], |job| &job.machines);
         let rank = |(id, host): &(&HostId, &Host)| {
             let far = need
                 .affinity
                 .is_some_and(|rack| !host.entry.has_label(rack));
-            let failed = last_failed_host == Some(*id);
+            let failed = last_failed_host == Some(*id) || lost.contains(&host.entry.address);
             let left = Self::usable(host, need, need.now);
             let at_risk = if need.caution == Caution::None {
                 0
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -2,12 +2,13 @@
 
 use std::collections::VecDeque;
 
-use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, YOUNG_MS};
+use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, Scene, YOUNG_MS};
+use super::crash_proofs::{Fate, HostBoot, Registration, Settled};
 use super::evidence::{is_dated, is_ground};
 use super::host::{Claim, Host, RunKey, Stage};
 use super::isolation::Caution;
-use super::job::{Job, Phase, WorkflowStatus};
-use super::message::{Action, PollFailure, Proof};
+use super::job::{Job, Phase, Task, WorkflowStatus};
+use super::message::{Action, HostReport, PollFailure, Proof};
 use super::restore::{CrashRecord, Record};
 use super::scheduler::WorkflowScheduler;
 use super::spec::{StepId, TaskName, WorkflowId};
@@ -18,6 +19,10 @@
 /// is known which other hosts were lost at the same moment.
 const SETTLE_MS: u64 = 100;
 
+/// How long a task waits for the proof of a crash on which depends whether it is given up, in
+/// milliseconds. Nothing may ever prove it.
+const PROOF_WAIT_MS: u64 = 1_500;
+
 /// The fewest hosts that count as a loss of a rack or an availability zone.
 const MIN_GROUP: usize = 3;
 
@@ -71,9 +76,15 @@
             PollFailure::Closed => {}
         }
         // A refused connection is no proof of the end: a cut refuses connections as well.
-        if failure != PollFailure::Replaced || !failing.unanswered {
+        if failure != PollFailure::Replaced {
             return;
         }
+        let is_unanswered = failing.unanswered;
+        let settled = self.crash_proofs.replace(id);
+        self.apply_fates(settled, now, out);
+        let Some(host) = self.hosts.get_mut(id).filter(|_| is_unanswered) else {
+            return;
+        };
         // Orders name the executor, so that its successor refuses those still under way.
         host.answered = false;
         let runs = host.claims.keys().copied().collect();
@@ -110,7 +121,11 @@
         let blame = self
             .recorded_blame(host)
             .unwrap_or_else(|| self.blame(host, died, &lost));
-        let machine = host.entry.address.clone();
+        let scene = Scene {
+            boot: host.lost_boot(),
+            machine: host.entry.address.clone(),
+            lost: died,
+        };
         self.note_loss(id, now);
         let mut blame = blame;
         self.explain_repeats(id, &blame);
@@ -119,7 +134,7 @@
         let is_ground = self.joint_chances(&blame).all(is_ground);
         blame.sole &= is_ground;
         let others = self.weigh(id, &blame.others(&lost), now);
-        self.accusations.extend(blame.accusation(others, &machine));
+        self.accusations.extend(blame.accusation(others, &scene));
         let excess = self.accusations.len().saturating_sub(MAX_ACCUSATIONS);
         self.accusations.drain(..excess);
         self.suspect_queue(id, &blame, now);
@@ -128,8 +143,9 @@
                 run: *run,
                 sole: blame.sole,
                 young: blame.young,
+                proved: false,
             };
-            self.suspect(*task, crash, &machine, out);
+            self.suspect(*task, crash, &scene, out);
         }
         self.record_all_evidence(&blame, out);
         if let Some(host) = self.hosts.get_mut(id) {
@@ -138,14 +154,24 @@
     }
 
     /// Records the crash of a host under a task, unless that was done before.
-    fn suspect(&mut self, task: TaskName, crash: Crash, machine: &str, out: &mut Vec<Action>) {
+    fn suspect(&mut self, task: TaskName, crash: Crash, scene: &Scene, out: &mut Vec<Action>) {
+        let Scene {
+            boot,
+            machine,
+            lost,
+        } = scene;
         if self.add_crash(task, crash, machine) {
             let record = CrashRecord {
                 task,
                 crash,
-                machine: machine.to_owned(),
+                machine: machine.clone(),
             };
-            self.record(Record::Crashed(record), out);
+            let record = Record::CrashedOn(record, boot.host.clone(), boot.boot_ms);
+            self.record(record, out);
+        }
+        let is_open = |task: &mut Task| task.has_open_crash(crash.run);
+        if self.task(task).is_some_and(is_open) {
+            self.crash_proofs.add(boot, *lost, (task, crash.run));
         }
     }
 
@@ -164,8 +190,9 @@
                     run: evidence.run,
                     sole: false,
                     young: false,
+                    proved: false,
                 };
-                self.suspect(task, crash, &accusation.machine, out);
+                self.suspect(task, crash, &accusation.scene, out);
                 self.record_evidence(task, evidence, out);
             }
         }
@@ -206,20 +233,129 @@
         })
     }
 
-    /// Takes back the judgement on a host whose process turns out to have gone on.
-    pub(super) fn acquit(&mut self, id: &HostId, out: &mut Vec<Action>) {
-        let host = self.hosts.get_mut(id);
-        let Some(blame) = host.and_then(|host| host.blame.take()) else {
+    /// Settles what a report says of the processes of its host that seemed to have crashed.
+    pub(super) fn settle_answered(
+        &mut self,
+        id: &HostId,
+        report: &HostReport,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let answered = HostBoot {
+            host: id.clone(),
+            boot_ms: report.boot_ms,
+        };
+        let settled = self.crash_proofs.answer(&answered, report.sent);
+        self.apply_fates(settled, now, out);
+        let Some(host) = self.hosts.get(id) else {
+            return;
+        };
+        if host.blame.is_some() && [0, report.boot_ms].contains(&host.boot_ms) {
+            self.forget_loss(id);
+        }
+    }
+
+    /// Settles what the registry says of the processes that seemed to have crashed.
+    pub(super) fn settle_registered(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if self.crash_proofs.is_empty() {
             return;
+        }
+        self.drop_settled_crashes();
+        let hosts = &self.hosts;
+        let registration = |id: &HostId| match hosts.get(id).filter(|host| host.listed) {
+            Some(host) => Registration::Listed(host.entry.boot_ms),
+            None => Registration::Missing,
         };
-        self.forget_loss(id);
-        for (task, run) in blame.suspects {
-            if let Some(state) = self.task(task) {
-                state.acquit(run);
-                self.record(Record::Acquitted(task, run), out);
-                out.push(Action::Acquitted { task });
+        let registration = (!self.is_stale).then_some(registration);
+        let settled = self.crash_proofs.look_up(registration, now);
+        self.apply_fates(settled, now, out);
+    }
+
+    /// Forgets the crashes on which nothing depends any more.
+    pub(super) fn drop_settled_crashes(&mut self) {
+        let jobs = &self.jobs;
+        self.crash_proofs.retain(|(task, run)| {
+            let job = jobs.get(&task.step.job).filter(|job| job.end.is_none());
+            let task = job.and_then(|job| job.task(*task));
+            task.is_some_and(|task| task.has_open_crash(*run))
+        });
+    }
+
+    /// Applies what became of processes that seemed to have crashed. Their runs may have been released
+    /// long before, and other jobs given up for the same crash.
+    fn apply_fates(&mut self, settled: Vec<Settled>, now: Millis, out: &mut Vec<Action>) {
+        for Settled { boot, fate, runs } in settled {
+            out.push(Action::LossSettled {
+                boot: boot.clone(),
+                fate,
+                suspects: runs.clone(),
+            });
+            if fate == Fate::WentOn {
+                self.acquit(&boot, &runs, out);
+            } else {
+                let convicted = self.prove_crashes(&runs, out);
+                self.give_up(convicted, now, out);
+            }
+        }
+    }
+
+    /// Takes back the judgement on a process that has gone on.
+    fn acquit(&mut self, boot: &HostBoot, runs: &[RunKey], out: &mut Vec<Action>) {
+        self.forget_loss(&boot.host);
+        // Nobody else crashed the host either.
+        self.accusations.retain(|it| it.scene.boot != *boot);
+        for (task, run) in runs {
+            if let Some(state) = self.task(*task) {
+                state.acquit(*run);
+                self.record(Record::Acquitted(*task, *run), out);
+                out.push(Action::Acquitted { task: *task });
+            }
+            if let Some(step) = self.step(task.step) {
+                // Nothing has to be awaited any more.
+                step.not_before = Millis::ZERO;
+                self.dirty = true;
+            }
+            self.acquit_queue(&boot.host, task.step.job);
+        }
+    }
+
+    /// Takes crashes under runs for proved; returns the jobs to give up for them.
+    fn prove_crashes(&mut self, runs: &[RunKey], out: &mut Vec<Action>) -> Vec<WorkflowId> {
+        let mut convicted = Vec::new();
+        for (task, run) in runs {
+            if !self.task(*task).is_some_and(|it| it.prove_crash(*run)) {
+                continue;
+            }
+            self.record(Record::CrashProved(*task, *run), out);
+            let job = task.step.job;
+            let is_open = self.jobs.get(&job).is_some_and(|job| job.end.is_none());
+            if is_open && self.is_guilty(*task) && !convicted.contains(&job) {
+                convicted.push(job);
+                self.report_verdict(*task, out);
+                self.explain_losses(*task);
             }
         }
+        convicted
+    }
+
+    /// Keeps a task from the next host for a while if that would be needless, should the crashes under
+    /// it turn out to be ones.
+    pub(super) fn await_proof(&mut self, name: TaskName, now: Millis) {
+        let job = self.jobs.get(&name.step.job);
+        if job.is_some_and(|job| job.awaits_proof(name))
+            && let Some(step) = self.step(name.step)
+        {
+            step.not_before = step.not_before.max(now + Millis(PROOF_WAIT_MS));
+        }
+    }
+
+    /// Ends jobs that crash their hosts.
+    fn give_up(&mut self, convicted: Vec<WorkflowId>, now: Millis, out: &mut Vec<Action>) {
+        for job in convicted {
+            let explains = |accusation: &Accusation| accusation.accused.contains(&job);
+            self.accusations.retain(|accusation| !explains(accusation));
+            self.end_job(job, WorkflowStatus::Failed, now, out);
+        }
     }
 
     /// Returns the runs that a host had when its process ended.
@@ -304,13 +440,9 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        let convicted = self.settle_loss(id, &runs, now, out);
+        let convicted = self.settle_loss(id, &runs, proof, now, out);
         self.end_lost(id, runs, proof, now, out);
-        for job in convicted {
-            let explains = |accusation: &Accusation| accusation.accused.contains(&job);
-            self.accusations.retain(|accusation| !explains(accusation));
-            self.end_job(job, WorkflowStatus::Failed, now, out);
-        }
+        self.give_up(convicted, now, out);
     }
 
     /// Ends runs that were lost with a process of their host whose loss is settled.
@@ -332,11 +464,12 @@
         }
     }
 
-    /// Settles the loss of a host; returns the jobs to give up.
+    /// Settles the loss of runs with a host; returns the jobs to give up.
     fn settle_loss(
         &mut self,
         id: &HostId,
         lost: &[RunKey],
+        proof: Proof,
         now: Millis,
         out: &mut Vec<Action>,
     ) -> Vec<WorkflowId> {
@@ -348,22 +481,23 @@
         }
         let host = self.hosts.get_mut(id);
         let blame = host.and_then(|host| host.blame.take()).unwrap_or_default();
-        let mut convicted = Vec::new();
         for (task, evidence) in self.weigh(id, &blame.suspects, now) {
             self.record_evidence(task, evidence, out);
         }
         for (task, _) in &blame.suspects {
-            let job = task.step.job;
-            if let Some(job) = self.jobs.get_mut(&job) {
+            if let Some(job) = self.jobs.get_mut(&task.step.job) {
                 job.crashed = now;
             }
-            let is_open = self.jobs.get(&job).is_some_and(|job| job.end.is_none());
-            if is_open && self.is_guilty(*task) && !convicted.contains(&job) {
-                convicted.push(job);
-                self.report_verdict(*task, out);
-                self.explain_losses(*task);
-            }
         }
+        // The leases of a host that was only cut off expire as well.
+        let convicted = if proof.is_of_crash() {
+            self.prove_crashes(&blame.suspects, out)
+        } else {
+            for (task, _) in &blame.suspects {
+                self.await_proof(*task, now);
+            }
+            Vec::new()
+        };
         out.push(Action::HostLost {
             host: id.clone(),
             runs: lost.len(),
--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -204,6 +204,23 @@
         }
     }
 
+    /// Takes back the crash of a host that has gone on, also for the queue of a suspected job.
+    pub(super) fn acquit_queue(&mut self, id: &HostId, job: WorkflowId) {
+        if let Some(host) = self.hosts.get(id) {
+            let machine = &host.entry.address;
+            self.isolation.lost.retain(|lost| lost.machine != *machine);
+        }
+        let Some(job) = self.jobs.get(&job) else {
+            return;
+        };
+        if job.tasks().all(|(_, task)| task.crashes.is_empty())
+            && let Some(record) = self.isolation.queues.get_mut(&job.flow.queue)
+        {
+            record.crashes.retain(|(known, _)| *known != job.flow.id);
+            record.suspected &= !record.crashes.is_empty();
+        }
+    }
+
     /// Returns whether any job or queue may be suspected.
     pub(super) fn has_suspects(&self) -> bool {
         !self.suspects.is_empty() || !self.isolation.queues.is_empty()
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -268,11 +268,23 @@
         })
     }
 
-    /// Returns whether a task is to be given up for the crashes under it.
+    /// Returns whether a task is to be given up for the crashes under it. A host that was only cut off
+    /// may still report, so that only proved ones count.
     pub fn is_guilty(&self, name: TaskName) -> bool {
+        self.is_guilty_by(name, |crash| crash.proved)
+    }
+
+    /// Returns whether a task is to be given up if all crashes under it turn out to be ones.
+    pub fn awaits_proof(&self, name: TaskName) -> bool {
+        self.is_guilty_by(name, |_| true)
+    }
+
+    fn is_guilty_by(&self, name: TaskName, counts: impl Fn(&Crash) -> bool) -> bool {
         self.task(name).is_some_and(|task| {
-            is_convicted(&task.crashes, &task.evidence)
-                && is_proof(&task.crashes, &task.evidence, self.tasks().count())
+            let crashes = task.crashes.iter().filter(|crash| counts(crash));
+            let crashes: Vec<Crash> = crashes.copied().collect();
+            is_convicted(&crashes, &task.evidence)
+                && is_proof(&crashes, &task.evidence, self.tasks().count())
         })
     }
 
@@ -356,6 +368,22 @@
         self.checkpoint = Arc::default();
     }
 
+    /// Records that the host of a run has crashed for certain; returns whether that was open.
+    pub fn prove_crash(&mut self, run: u32) -> bool {
+        let mut open = self.crashes.iter_mut().filter(|crash| !crash.proved);
+        let crash = open.find(|crash| crash.run == run);
+        crash.is_some_and(|crash| {
+            crash.proved = true;
+            true
+        })
+    }
+
+    /// Returns whether it is open if the host of a run has crashed.
+    pub fn has_open_crash(&self, run: u32) -> bool {
+        let mut open = self.crashes.iter().filter(|crash| !crash.proved);
+        open.any(|crash| crash.run == run)
+    }
+
     /// Takes back that the host of a run crashed under it.
     pub fn acquit(&mut self, run: u32) {
         self.crashes.retain(|crash| crash.run != run);
--- a/wigeongate-core/src/workflow/kept_records.rs
+++ b/wigeongate-core/src/workflow/kept_records.rs
@@ -232,6 +232,8 @@
     match record {
         Record::Ended(..)
         | Record::Crashed(_)
+        | Record::CrashedOn(..)
+        | Record::CrashProved(..)
         | Record::Lost(..)
         | Record::Acquitted(..)
         | Record::Weighed(..)
@@ -261,11 +263,15 @@
             NUMBERS_BYTES + host.as_str().len()
         }
         Record::Crashed(crash) => EVIDENCE_BYTES + crash.machine.len(),
+        Record::CrashedOn(crash, host, _) => {
+            EVIDENCE_BYTES + NUMBERS_BYTES + crash.machine.len() + host.as_str().len()
+        }
         Record::Weighed(_, evidence) => EVIDENCE_BYTES + evidence.host.as_str().len(),
         Record::Failed(..)
         | Record::GangFailed(..)
         | Record::Lost(..)
         | Record::Acquitted(..)
+        | Record::CrashProved(..)
         | Record::Released(..) => NUMBERS_BYTES,
         Record::Done(_) | Record::GangDone(_) | Record::Ended(..) | Record::Begun(_) => 0,
     };
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 
 use super::advice_gates::AssignedGate;
+use super::crash_proofs::{Fate, HostBoot};
 use super::evidence::Evidence;
 use super::host::{HostContact, RunKey};
 use super::restore::Record;
@@ -168,6 +169,11 @@
 }
 
 impl Proof {
+    /// Returns whether the process that ran the task is known to have ended.
+    pub const fn is_of_crash(self) -> bool {
+        matches!(self, Self::NewBoot | Self::Replaced)
+    }
+
     /// Returns the outcome of a run that ended in this way.
     pub const fn outcome(self) -> RunOutcome {
         match self {
@@ -270,6 +276,15 @@
         /// The runs that may have crashed it; empty if none is suspected.
         suspects: Vec<RunKey>,
     },
+    /// Log what became of a process that seemed to have crashed.
+    LossSettled {
+        /// The host and the boot.
+        boot: HostBoot,
+        /// What became of it.
+        fate: Fate,
+        /// The runs that were suspected.
+        suspects: Vec<RunKey>,
+    },
     /// Log that a job is given up for the crashes under a task.
     Verdict {
         /// The task.
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -34,9 +34,8 @@
         self.end_boot_runs(id, report, now, out);
         if rebooted {
             self.isolate_successor(id, now);
-        } else {
-            self.acquit(id, out);
         }
+        self.settle_answered(id, report, now, out);
         let Some(host) = self.hosts.get_mut(id) else {
             return;
         };
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -3,9 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::Crash;
+use super::crash_proofs::HostBoot;
 use super::evidence::Evidence;
 use super::host::{Host, HostEntry, RunKey};
-use super::job::{Phase, WorkflowStatus};
+use super::job::{Job, Phase, WorkflowStatus};
 use super::job_counts::JobCounts;
 use super::message::Action;
 use super::scheduler::WorkflowScheduler;
@@ -62,7 +63,7 @@
     Ended(WorkflowId, WorkflowStatus),
     /// A run of a task was ordered on a boot of a host, in milliseconds since 1970.
     StartedOn(TaskName, u32, HostId, u64),
-    /// A host crashed under a run.
+    /// A host seems to have crashed under a run; written by versions that did not record the boot.
     Crashed(CrashRecord),
     /// A run was lost with the process of its host.
     Lost(TaskName, u32),
@@ -74,6 +75,10 @@
     Released(TaskName, u32),
     /// A task of a job has started, as an answer or a report proved.
     Begun(WorkflowId),
+    /// A boot of a host, in milliseconds since 1970, seems to have crashed under a run.
+    CrashedOn(CrashRecord, HostId, u64),
+    /// The host of a run has crashed for certain.
+    CrashProved(TaskName, u32),
 }
 
 impl Record {
@@ -87,8 +92,9 @@
             | Self::Lost(task, _)
             | Self::Acquitted(task, _)
             | Self::Weighed(task, _)
-            | Self::Released(task, _) => task.step.job,
-            Self::Crashed(record) => record.task.step.job,
+            | Self::Released(task, _)
+            | Self::CrashProved(task, _) => task.step.job,
+            Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
             Self::Ended(job, _) | Self::Begun(job) => *job,
         }
@@ -139,20 +145,11 @@
             Record::Released(task, run) => {
                 self.logged_runs.remove(&(*task, *run));
             }
-            Record::Acquitted(task, run) => {
-                if let Some(state) = self.task(*task) {
-                    state.acquit(*run);
-                }
-            }
-            Record::Weighed(task, evidence) => self.log_evidence(*task, evidence, now),
-            Record::Crashed(record) => {
-                let CrashRecord {
-                    task,
-                    crash,
-                    machine,
-                } = record;
-                self.add_crash(*task, *crash, machine);
-            }
+            Record::Acquitted(..)
+            | Record::Weighed(..)
+            | Record::Crashed(_)
+            | Record::CrashedOn(..)
+            | Record::CrashProved(..) => self.replay_crash(record, now),
             Record::Done(task) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, task.step)
@@ -191,6 +188,39 @@
         }
     }
 
+    /// Applies a record on the crashes under a task.
+    fn replay_crash(&mut self, record: &Record, now: Millis) {
+        match record {
+            Record::Acquitted(task, run) => {
+                if let Some(state) = self.task(*task) {
+                    state.acquit(*run);
+                }
+            }
+            Record::Weighed(task, evidence) => self.log_evidence(*task, evidence, now),
+            Record::Crashed(record) => {
+                let logged = self.logged_runs.get(&(record.task, record.crash.run));
+                let boot = logged.map(|logged| HostBoot {
+                    host: logged.host.clone(),
+                    boot_ms: logged.boot_ms,
+                });
+                self.log_crash(record, boot);
+            }
+            Record::CrashedOn(record, host, boot_ms) => {
+                let boot = HostBoot {
+                    host: host.clone(),
+                    boot_ms: *boot_ms,
+                };
+                self.log_crash(record, Some(boot));
+            }
+            Record::CrashProved(task, run) => {
+                if let Some(state) = self.task(*task) {
+                    state.prove_crash(*run);
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Applies a record of a job that the store no longer holds.
     fn replay_unknown(&mut self, record: &Record) {
         match record {
@@ -213,6 +243,22 @@
         self.logged_runs.insert(key, run);
     }
 
+    /// Adds a crash of the log. Without the boot of the host, nothing that the host says later tells
+    /// whether it was one.
+    fn log_crash(&mut self, record: &CrashRecord, boot: Option<HostBoot>) {
+        let CrashRecord {
+            task,
+            crash,
+            machine,
+        } = record;
+        if self.add_crash(*task, *crash, machine)
+            && let Some(boot) = boot
+        {
+            let run = (*task, crash.run);
+            self.crash_proofs.add(&boot, Millis::ZERO, run);
+        }
+    }
+
     fn log_evidence(&mut self, task: TaskName, evidence: &Evidence, now: Millis) {
         let is_new = self.add_evidence(task, evidence);
         let mut crashes = self.crashes(task).iter();
@@ -232,12 +278,12 @@
         }
     }
 
-    /// Returns a task of an open job that is to be given up for the crashes under it.
-    fn guilty_task(&self, id: WorkflowId) -> Option<TaskName> {
-        let job = self.jobs.get(&id).filter(|job| job.end.is_none())?;
-        let crashed = job.tasks().filter(|(_, task)| !task.crashes.is_empty());
-        let mut names = crashed.map(|(name, _)| name);
-        names.find(|name| job.is_guilty(*name))
+    /// Returns the tasks of an open job under which hosts may have crashed.
+    fn crashed_tasks(&self, id: WorkflowId) -> Vec<TaskName> {
+        let job = self.jobs.get(&id).filter(|job| job.end.is_none());
+        let tasks = job.into_iter().flat_map(Job::tasks);
+        let crashed = tasks.filter(|(_, task)| !task.crashes.is_empty());
+        crashed.map(|(name, _)| name).collect()
     }
 
     /// Returns whether a task or gang of an open job has failed too often.
@@ -304,9 +350,16 @@
     /// Ends a job whose tasks have all ended or failed too often, or marks its steps that can start as
     /// ready.
     fn finish_job(&mut self, id: WorkflowId, now: Millis, actions: &mut Vec<Action>) {
-        let guilty = self.guilty_task(id);
+        let crashed = self.crashed_tasks(id);
+        let job = self.jobs.get(&id);
+        let is_guilty = |task: &&TaskName| job.is_some_and(|job| job.is_guilty(**task));
+        let guilty = crashed.iter().find(is_guilty);
         if let Some(task) = guilty {
-            self.report_verdict(task, actions);
+            self.report_verdict(*task, actions);
+        } else {
+            for task in &crashed {
+                self.await_proof(*task, now);
+            }
         }
         if guilty.is_some() || self.is_exhausted(id) {
             self.end_job(id, WorkflowStatus::Failed, now, actions);
@@ -353,6 +406,7 @@
             }
             if rest.jobs.is_none() {
                 self.restore_losses(now);
+                self.drop_settled_crashes();
             }
             let jobs = rest.jobs.get_or_insert_with(|| {
                 let ids: Vec<WorkflowId> = self.jobs.keys().copied().collect();
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -6,6 +6,7 @@
 use super::advice_gates::AdviceGates;
 use super::allowance::Allowances;
 use super::crash::Accusation;
+use super::crash_proofs::CrashProofs;
 use super::ended_jobs::EndedJobs;
 use super::evidence::Loss;
 use super::host::{Claim, Host, HostEntry, RunKey, Stage};
@@ -113,6 +114,8 @@
     pub(super) suspects: BTreeSet<WorkflowId>,
     /// Crashes whose suspects have not been cleared or given up, the oldest first.
     pub(super) accusations: VecDeque<Accusation>,
+    /// Lost processes of which it is not known whether they have crashed.
+    pub(super) crash_proofs: CrashProofs,
     /// Hosts that were lost of late, in the order in which that was seen.
     pub(super) losses: Vec<Loss>,
     /// Hosts that the log shows as lost and their services, collected during the replay.
@@ -370,6 +373,7 @@
         self.wall_ms = wall_ms;
         self.ready_due_steps(now);
         self.judge_losses(now, out);
+        self.settle_registered(now, out);
         self.expire_hosts(now, out);
         self.clear_suspects(now, out);
         self.update_isolation(now, out);
--- a/wigeongate-core/tests/lease_model/model/gates.rs
+++ b/wigeongate-core/tests/lease_model/model/gates.rs
@@ -256,6 +256,7 @@
             Action::Advise { .. }
             | Action::Returned { .. }
             | Action::HostLost { .. }
+            | Action::LossSettled { .. }
             | Action::Verdict { .. }
             | Action::Acquitted { .. }
             | Action::QueueSuspected { .. }
--- a/wigeongate-core/tests/workflow/log_checkpoint.rs
+++ b/wigeongate-core/tests/workflow/log_checkpoint.rs
@@ -578,7 +578,7 @@
             owner.tick(Millis(4_000 + at * 100), 0, &mut actions);
         }
         let is_suspect = actions.iter().any(|action| match action {
-            Action::Record(Record::Crashed(record)) => record.crash.young,
+            Action::Record(Record::CrashedOn(record, ..)) => record.crash.young,
             _ => false,
         });
         assert_eq!(is_suspect, case.is_suspect, "{}: {actions:?}", case.name);
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod costs_of_the_past;
 mod crashes;
+mod cut_hosts;
 mod freshness;
 mod gang_rounds;
 mod group_losses;
--- a/wigeongate-core/tests/workflow/verdicts.rs
+++ b/wigeongate-core/tests/workflow/verdicts.rs
@@ -3,7 +3,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::workflow::WorkflowStatus;
 
-use super::world::{Faults, Rng, World, flow, host, rules, step};
+use super::world::{AWAY_MS, Faults, Rng, World, flow, host, rules, step};
 use super::{CORE, task};
 
 /// The hosts of each deployment.
@@ -309,6 +309,10 @@
     assert_eq!(world.verdicts, []);
     world.take_over();
     world.run_for(50);
+    assert_eq!(world.verdicts, []);
+    // The successor of the host answers.
+    world.run_for(AWAY_MS);
     assert_eq!(world.status(7), Some(WorkflowStatus::Failed));
     assert_eq!(world.verdicts, [bad]);
+    assert_eq!(world.crashes_by(bad), 2);
 }
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -18,6 +18,7 @@
     WorkflowStatus, departing_lease,
 };
 
+pub use self::outages::AWAY_MS;
 pub use self::stored_log::StoredLog;
 
 /// Duration of a task lease, in milliseconds.
@@ -139,6 +140,8 @@
     Die(HostId),
     /// The executors at an address can be reached again.
     Heal(String),
+    /// A host that refused connections can be reached again.
+    Accept(HostId),
     /// The successor of a crashed host starts.
     Return(HostId),
     /// The registration of a crashed host expires.
@@ -186,6 +189,8 @@
     executors: BTreeMap<HostId, Executor>,
     /// Addresses from which calls get no answer.
     cut: BTreeSet<String>,
+    /// Hosts that are cut off with refused connections and run on.
+    refusing: BTreeSet<HostId>,
     messages: BTreeMap<(u64, u64), (u64, Message)>,
     sent: u64,
     flows: Vec<Workflow>,
@@ -223,6 +228,8 @@
     pub other_gates: usize,
     /// Whether a crashed host returns under the identifier that it had.
     pub keeps_ids: bool,
+    /// Whether crashed hosts never return.
+    pub stays_away: bool,
     /// The share of the hosts that advice allows for each step, in percent; no call is answered if
     /// it is zero.
     pub allowed_percent: u64,
@@ -323,6 +330,7 @@
             epoch: 0,
             executors: BTreeMap::new(),
             cut: BTreeSet::new(),
+            refusing: BTreeSet::new(),
             messages: BTreeMap::new(),
             sent: 0,
             flows: Vec::new(),
@@ -344,6 +352,7 @@
             run_times: HashMap::default(),
             other_gates: advice::OTHER_GATES,
             keeps_ids: false,
+            stays_away: false,
             allowed_percent: 0,
             failed: HashMap::default(),
             gang_failed: HashMap::default(),
@@ -454,6 +463,11 @@
         }
     }
 
+    /// Returns the records that the owners have written.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.log.iter().flatten()
+    }
+
     /// Returns the hosts on which a task runs.
     pub fn hosts_running(&self, task: TaskName) -> Vec<&HostId> {
         self.executors
@@ -603,7 +617,8 @@
             Message::Poll(id) => self.poll(epoch, id),
             Message::Forget(id, boot_ms, number) => {
                 let executor = self.executors.get_mut(&id).expect("the host is known");
-                let is_cut = self.cut.contains(&executor.entry.address);
+                let is_cut =
+                    self.cut.contains(&executor.entry.address) || self.refusing.contains(&id);
                 if executor.reachable
                     && !is_cut
                     && executor.boot_ms == boot_ms
@@ -644,6 +659,7 @@
             Message::Crash(id, task) => self.crash_by_task(&id, task),
             Message::Die(id) => self.die(&id),
             Message::Heal(address) => self.heal(&address),
+            Message::Accept(id) => self.accept_connections(&id),
             Message::Return(id) => self.start_successor(&id),
             Message::Unlist(id) => self.unlist(&id),
             _ => {}
@@ -656,7 +672,8 @@
             .executors
             .get_mut(&order.host)
             .expect("the host is known");
-        let is_cut = self.cut.contains(&executor.entry.address);
+        let is_cut = self.cut.contains(&executor.entry.address)
+            || self.refusing.contains(&executor.entry.id);
         if !executor.reachable || is_cut || epoch < executor.fence {
             return;
         }
@@ -686,6 +703,10 @@
             self.reply(epoch, 1, Message::PollFailed(id, failure));
             return;
         }
+        if self.refusing.contains(&id) {
+            self.reply(epoch, 1, Message::PollFailed(id, PollFailure::Refused));
+            return;
+        }
         if !executor.reachable || epoch < executor.fence {
             return;
         }
@@ -730,7 +751,7 @@
             self.reply(epoch, TIMEOUT_MS, unknown);
             return;
         }
-        if executor.dead {
+        if executor.dead || self.refusing.contains(&order.host) {
             self.refused_starts += 1;
             if answer > 0 {
                 let refused = StartResult::Refused(Refusal::NotSent);
@@ -919,6 +940,7 @@
                 }
                 Action::Released { .. }
                 | Action::HostLost { .. }
+                | Action::LossSettled { .. }
                 | Action::Acquitted { .. }
                 | Action::QueueSuspected { .. } => {}
                 Action::Poll { host } => self.send(1, Message::Poll(host)),
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -57,8 +57,10 @@
         // The process breaks off the poll that it holds.
         let broken = Message::PollFailed(id.clone(), PollFailure::NoAnswer);
         self.send(self.break_delay_ms, broken);
-        self.send(AWAY_MS, Message::Return(id.clone()));
-        if !self.keeps_ids {
+        if !self.stays_away {
+            self.send(AWAY_MS, Message::Return(id.clone()));
+        }
+        if self.stays_away || !self.keeps_ids {
             self.send(UNLIST_MS, Message::Unlist(id.clone()));
         }
     }
@@ -112,6 +114,24 @@
         }
     }
 
+    /// Cuts a host off with refused connections for a while; it runs on and stays registered.
+    pub fn cut_off_refusing(&mut self, id: &HostId, ms: u64) {
+        self.refusing.insert(id.clone());
+        // The cut breaks the poll that the host holds.
+        let broken = Message::PollFailed(id.clone(), PollFailure::NoAnswer);
+        self.send(self.break_delay_ms, broken);
+        self.send(ms, Message::Accept(id.clone()));
+    }
+
+    /// Returns whether a host is cut off with refused connections.
+    pub fn is_refusing(&self, id: &HostId) -> bool {
+        self.refusing.contains(id)
+    }
+
+    pub(super) fn accept_connections(&mut self, id: &HostId) {
+        self.refusing.remove(id);
+    }
+
     /// Lets polls of a host that runs on be refused for a while.
     pub fn refuse_connections(&mut self, id: &HostId, ms: u64) {
         self.executors
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -596,6 +596,11 @@
                 runs,
                 suspects,
             } => self.report_loss(&host, runs, &suspects),
+            Action::LossSettled {
+                boot,
+                fate,
+                suspects,
+            } => self.report_fate(&boot, fate, &suspects),
             Action::Verdict { task, evidence } => {
                 let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
                 self.shared.metrics.count("verdicts", "crashes");
--- a/wigeongate/src/entry/owner/run_reports.rs
+++ b/wigeongate/src/entry/owner/run_reports.rs
@@ -2,7 +2,7 @@
 
 use tracing::{info, warn};
 use wigeongate_core::ids::HostId;
-use wigeongate_core::workflow::{HostContact, HostReport, Proof, TaskName};
+use wigeongate_core::workflow::{Fate, HostBoot, HostContact, HostReport, Proof, TaskName};
 
 use super::super::contact_ages::ContactAges;
 use super::Owner;
@@ -81,4 +81,12 @@
             },
         );
     }
+
+    /// Logs what became of a process that seemed to have crashed.
+    pub(super) fn report_fate(&self, boot: &HostBoot, fate: Fate, suspects: &[(TaskName, u32)]) {
+        let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
+        info!(host = %boot.host, boot_ms = boot.boot_ms, %fate, suspects = names.join(" "),
+            "owner: it is known what became of a host that seemed to have crashed.");
+        self.shared.metrics.count("host_fate", &fate.to_string());
+    }
 }
