core, platform: end no run on a list of ends that may not be whole

Cause: an executor lists 500 ends in an answer, and the owner took what an answer does not list for what is not there. The first report of an epoch ended all runs of earlier owners that it did not name (proof fenced), a report after an answered stop did the same (stopped), and each run whose end waited for a later answer got a stop.

A report that may not list all ends takes no claim away and orders no stop: runs of earlier owners, of earlier boots and beside stops wait for the first report that lists all. The next answer is asked for as soon as the ends of the last one are stored.

--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -158,6 +158,10 @@
 pub type RunKey = (TaskName, u32);
 
 /// A host, its runs and its health.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is an independent fact of the host"
+)]
 #[derive(Debug)]
 pub struct Host {
     /// The entry in the registry.
@@ -166,10 +170,15 @@
     pub listed: bool,
     /// When it was seen that the registry no longer lists it; valid unless `listed`.
     pub unlisted: Millis,
-    /// Whether it has reported in this owner's epoch, so that its runs are known.
+    /// Whether it has reported in this owner's epoch, so that its running tasks are known.
     pub answered: bool,
+    /// Whether a report since then listed all ends, so that the runs of earlier owners are settled.
+    pub settled: bool,
     /// The boot of the last report, in milliseconds since 1970.
     pub boot_ms: u64,
+    /// The boot of the last report that listed all ends, in milliseconds since 1970. The runs of the
+    /// boots before are lost.
+    pub settled_boot: u64,
     /// When the first report of this boot arrived; zero if no restart is known.
     pub restarted: Millis,
     /// Claims of the runs on this host.
@@ -220,7 +229,9 @@
             listed: true,
             unlisted: Millis::ZERO,
             answered: false,
+            settled: false,
             boot_ms: 0,
+            settled_boot: 0,
             restarted: Millis::ZERO,
             claims: HashMap::default(),
             used: Resources::ZERO,
@@ -292,19 +303,23 @@
 
     /// Returns the process that is lost with the host.
     pub fn lost_boot(&self) -> HostBoot {
-        // Of a host that has not reported to this owner, only the log names the boot.
-        let logged = self.claims.values().map(|claim| claim.boot_ms);
-        let logged = logged.filter(|boot_ms| *boot_ms != 0).min();
+        // Of a host that has not reported to this owner, only the log names the boot. The runs of a
+        // boot before may not be settled yet.
+        let boots = || self.claims.values().map(|claim| claim.boot_ms);
+        let earlier = boots().filter(|boot_ms| *boot_ms != 0).min();
+        let is_current = self.boot_ms != 0 && boots().any(|boot_ms| boot_ms == self.boot_ms);
         HostBoot {
             host: self.entry.id.clone(),
-            boot_ms: if self.boot_ms == 0 {
-                logged.unwrap_or_default()
-            } else {
-                self.boot_ms
-            },
+            boot_ms: earlier.filter(|_| !is_current).unwrap_or(self.boot_ms),
         }
     }
 
+    /// Handles that the host has to report anew before it gets work.
+    pub const fn forget_report(&mut self) {
+        self.answered = false;
+        self.settled = false;
+    }
+
     /// Returns whether the host has ever reported to this owner.
     pub fn has_reported(&self) -> bool {
         self.reported > Millis::ZERO
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -86,7 +86,7 @@
             return;
         };
         // Orders name the executor, so that its successor refuses those still under way.
-        host.answered = false;
+        host.forget_report();
         let runs = host.claims.keys().copied().collect();
         self.lose_runs(id, runs, Proof::Replaced, now, out);
     }
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -73,8 +73,11 @@
     pub lease: Millis,
     /// All running tasks.
     pub running: Vec<Running>,
-    /// Ends that the executor has not been told to forget.
+    /// Ends that the executor has not been told to forget, the oldest first.
     pub ended: Vec<Ended>,
+    /// Whether there may be more of them than these. Of a run that is not listed, such a report says
+    /// only that it does not go on.
+    pub has_more_ends: bool,
 }
 
 /// Why a poll got no report.
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -70,7 +70,12 @@
             }
             self.track_running(id, running, now, out);
         }
-        if first {
+        // The ends of runs that are not listed may follow.
+        if report.has_more_ends {
+            return;
+        }
+        let host = self.hosts.get_mut(id);
+        if host.is_some_and(|host| !std::mem::replace(&mut host.settled, true)) {
             self.end_unlisted_inherited(id, report, now, out);
         }
         self.resolve_unlisted(id, report, now, out);
@@ -78,7 +83,7 @@
 
     /// Ends the runs of an earlier boot. An unanswered order may still reach the new one, so its run
     /// is kept. An order that was planned for the earlier boot may have reached the new one: a report
-    /// lists its run if it was sent for after the order was answered.
+    /// that lists all ends lists its run if it was sent for after the order was answered.
     fn end_boot_runs(
         &mut self,
         id: &HostId,
@@ -96,6 +101,10 @@
                 claim.boot_ms = report.boot_ms;
             }
         }
+        if report.has_more_ends {
+            return;
+        }
+        let settled_boot = std::mem::replace(&mut host.settled_boot, report.boot_ms);
         let is_lost = |claim: &Claim| {
             let is_answered = claim.answered.is_some_and(|at| at < report.sent);
             let is_settled = is_answered || claim.stage == Stage::Planned;
@@ -107,12 +116,12 @@
             .filter(|(_, claim)| is_lost(claim))
             .map(|(run, _)| *run)
             .collect();
-        if host.boot_ms == report.boot_ms {
+        if settled_boot == report.boot_ms {
             // The restart has been judged; the runs of this boot had no part in it.
             self.end_lost(id, runs, Proof::NewBoot, now, out);
             return;
         }
-        if runs.is_empty() && host.boot_ms != 0 {
+        if runs.is_empty() && settled_boot != 0 {
             self.note_loss(id, now);
         }
         self.lose_runs(id, runs, Proof::NewBoot, now, out);
@@ -297,8 +306,8 @@
         }
     }
 
-    /// Ends the runs of earlier owners that the first report in this epoch does not list; the host
-    /// refuses orders of earlier epochs from now on.
+    /// Ends the runs of earlier owners that the first report with all ends in this epoch does not list;
+    /// the host refuses orders of earlier epochs from now on.
     fn end_unlisted_inherited(
         &mut self,
         id: &HostId,
@@ -326,7 +335,8 @@
         }
     }
 
-    /// Resolves runs that are missing from a report whose poll was sent after their last order.
+    /// Resolves runs that are missing from a report with all ends whose poll was sent after their last
+    /// order.
     fn resolve_unlisted(
         &mut self,
         id: &HostId,
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -420,7 +420,7 @@
         for id in dead {
             self.release_expired(&id, now, out);
             if let Some(host) = self.hosts.get_mut(&id) {
-                host.answered = false;
+                host.forget_report();
             }
         }
     }
--- a/wigeongate-core/tests/lease_model/model/gates.rs
+++ b/wigeongate-core/tests/lease_model/model/gates.rs
@@ -153,6 +153,7 @@
                 lease: now + Millis(2_000),
                 running: spare,
                 ended: Vec::new(),
+                ..HostReport::default()
             };
             owner
                 .scheduler
@@ -509,6 +510,7 @@
                     lease,
                     running,
                     ended: Vec::new(),
+                    ..HostReport::default()
                 };
                 owner
                     .scheduler
--- a/wigeongate-core/tests/outlook/fleet.rs
+++ b/wigeongate-core/tests/outlook/fleet.rs
@@ -602,6 +602,7 @@
                     })
                     .collect(),
                 ended: self.reported.remove(&id).unwrap_or_default(),
+                ..HostReport::default()
             };
             let now = Millis(self.now);
             self.scheduler.poll_sent(&id, report.lease);
--- a/wigeongate-core/tests/workflow/advice.rs
+++ b/wigeongate-core/tests/workflow/advice.rs
@@ -408,6 +408,7 @@
                     Vec::new()
                 },
                 ended: if ms == 3_000 { ends(at) } else { Vec::new() },
+                ..HostReport::default()
             };
             let id = HostId::from(format!("w-{at}"));
             scheduler.apply_report(&id, &report, now, &mut Vec::new());
--- a/wigeongate-core/tests/workflow/costs_of_the_past.rs
+++ b/wigeongate-core/tests/workflow/costs_of_the_past.rs
@@ -127,6 +127,7 @@
             lease: at + Millis(3_000),
             running,
             ended: ended.to_vec(),
+            ..HostReport::default()
         };
         let with_unknown = report(now, vec![unknown.clone()], &[]);
         scheduler.apply_report(&other, &with_unknown, now, &mut Vec::new());
--- a/wigeongate-core/tests/workflow/gang_rounds.rs
+++ b/wigeongate-core/tests/workflow/gang_rounds.rs
@@ -150,6 +150,7 @@
             gangs.cloned().unwrap_or_default()
         },
         ended: if is_full { Vec::new() } else { ended.collect() },
+        ..HostReport::default()
     }
 }
 
--- a/wigeongate-core/tests/workflow/leases.rs
+++ b/wigeongate-core/tests/workflow/leases.rs
@@ -209,6 +209,7 @@
         lease: Millis(sent + LEASE_MS),
         running,
         ended: Vec::new(),
+        ..HostReport::default()
     }
 }
 
--- a/wigeongate-core/tests/workflow/lone_owner.rs
+++ b/wigeongate-core/tests/workflow/lone_owner.rs
@@ -60,6 +60,7 @@
             lease: self.now() + Millis(30_000),
             running,
             ended,
+            ..HostReport::default()
         };
         let now = self.now();
         self.scheduler
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -18,6 +18,7 @@
 mod limits;
 mod log_checkpoint;
 mod lone_owner;
+mod many_ends;
 mod mixed_load;
 mod next_owner;
 mod orphan_runs;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -230,6 +230,13 @@
     pub keeps_ids: bool,
     /// Whether crashed hosts never return.
     pub stays_away: bool,
+    /// The most ends that a report lists.
+    pub listed_ends: usize,
+    /// Whether a task whose run has ended done must not start again, even if the end is not
+    /// acknowledged; holds as long as no lease lapses.
+    pub keeps_ends: bool,
+    /// How long a write to the log takes, in milliseconds.
+    pub write_ms: u64,
     /// The share of the hosts that advice allows for each step, in percent; no call is answered if
     /// it is zero.
     pub allowed_percent: u64,
@@ -353,6 +360,9 @@
             other_gates: advice::OTHER_GATES,
             keeps_ids: false,
             stays_away: false,
+            listed_ends: usize::MAX,
+            keeps_ends: false,
+            write_ms: 30,
             allowed_percent: 0,
             failed: HashMap::default(),
             gang_failed: HashMap::default(),
@@ -717,9 +727,13 @@
             self.lease_ms
         };
         executor.lease = executor.lease.max(self.now + lease_ms);
+        let unacknowledged = |ended: &&Ended| ended.number > executor.forgotten;
+        let ended = executor.ended.iter().filter(unacknowledged);
+        let ended: Vec<Ended> = ended.take(self.listed_ends).cloned().collect();
         let report = HostReport {
             boot_ms: executor.boot_ms,
             sent: now,
+            has_more_ends: ended.len() >= self.listed_ends,
             lease: Millis(self.now + lease_ms + 20),
             running: executor
                 .running
@@ -730,12 +744,7 @@
                     checkpoint: String::new(),
                 })
                 .collect(),
-            ended: executor
-                .ended
-                .iter()
-                .filter(|ended| ended.number > executor.forgotten)
-                .cloned()
-                .collect(),
+            ended,
         };
         self.reply(epoch, 1, Message::Reported(id, report));
     }
@@ -837,7 +846,8 @@
                 .push(format!("{}: {task} runs twice at the same time", self.now));
         }
         let spec = self.spec(task).cloned().unwrap_or_default();
-        if self.done.contains(&task) && !spec.gang {
+        let is_done = self.done.contains(&task) || (self.keeps_ends && self.is_ended_done(task));
+        if is_done && !spec.gang {
             self.violations
                 .push(format!("{}: {task} starts after it was done", self.now));
         }
@@ -930,7 +940,7 @@
                     self.unwritten.push(record);
                     self.recorded.push(self.now);
                     let number = self.scheduler.last_record();
-                    self.send(30, Message::Written(number));
+                    self.send(self.write_ms, Message::Written(number));
                 }
                 Action::Verdict { task, .. } => self.verdicts.push(task),
                 Action::Returned { task, run, .. } => {
--- a/wigeongate-core/tests/workflow/world/stored_log.rs
+++ b/wigeongate-core/tests/workflow/world/stored_log.rs
@@ -353,6 +353,7 @@
                 .filter(|ended| ended.number > executor.forgotten)
                 .cloned()
                 .collect(),
+            ..HostReport::default()
         }
     }
 }
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -69,6 +69,15 @@
     events: mpsc::UnboundedSender<OwnerEvent>,
 }
 
+/// What the next poll depends on.
+#[derive(Debug)]
+struct Answer {
+    /// The number of the last end in the answer; zero without ends.
+    last_end: u64,
+    /// Whether the executor may hold more ends than it listed.
+    has_more_ends: bool,
+}
+
 /// A connection to one executor, which is polled until the link is dropped.
 #[derive(Debug)]
 pub struct HostLink {
@@ -190,19 +199,20 @@
         let mut wait_ms = 0;
         while !self.events.is_closed() {
             match self.poll(wait_ms).await {
-                Ok(last) => {
-                    self.wait_acknowledged(last).await;
+                Ok(answer) => {
+                    let is_acknowledged = self.wait_acknowledged(answer.last_end).await;
                     // After the first answer, and after a poll without an answer, only the next
                     // poll extends the leases. It must not wait for a run to end, so that its
                     // answer confirms the extension at once.
                     let until = locked(&self.lease).confirmed_until();
                     let left = until.since(self.shared.now()).0;
-                    wait_ms = if left < 2 * POLL_WAIT_MS {
+                    let has_next_page = is_acknowledged && answer.has_more_ends;
+                    wait_ms = if left < 2 * POLL_WAIT_MS || has_next_page {
                         0
                     } else {
                         POLL_WAIT_MS
                     };
-                    if wait_ms == 0 && self.is_limited() {
+                    if wait_ms == 0 && !has_next_page && self.is_limited() {
                         // Only a renewal of the ownership lets the next poll extend the leases.
                         sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                     }
@@ -226,26 +236,24 @@
     }
 
     /// Waits until the ends up to a number are acknowledged, so that the next answer does not list
-    /// them again.
-    async fn wait_acknowledged(&self, last: u64) {
+    /// them again; returns whether they are.
+    async fn wait_acknowledged(&self, last: u64) -> bool {
         let written = async {
             while locked(&self.lease).acknowledged() < last {
                 self.acknowledged.notified().await;
             }
         };
-        if timeout(Duration::from_millis(LOG_WRITE_TIMEOUT_MS), written)
-            .await
-            .is_err()
-        {
+        let limit = Duration::from_millis(LOG_WRITE_TIMEOUT_MS);
+        let is_acknowledged = timeout(limit, written).await.is_ok();
+        if !is_acknowledged {
             debug!(host = %self.id, last,
                 "hosts: the log does not hold the last ends yet; polling again.");
         }
+        is_acknowledged
     }
 
-    /// Polls once; returns the number of the last end in the answer, zero without ends.
-    ///
-    /// Fails with the delay until the next poll, in milliseconds.
-    async fn poll(&self, wait_ms: u64) -> Result<u64, u64> {
+    /// Polls once. Fails with the delay until the next poll, in milliseconds.
+    async fn poll(&self, wait_ms: u64) -> Result<Answer, u64> {
         let sent = self.shared.now();
         let (poll, has_answered) = {
             let mut lease = locked(&self.lease);
@@ -293,9 +301,13 @@
                         lease,
                         running: report.running,
                         ended: report.ended,
+                        has_more_ends: report.has_more_ends,
                     },
                 ));
-                Ok(last)
+                Ok(Answer {
+                    last_end: last,
+                    has_more_ends: report.has_more_ends,
+                })
             }
             Err(PollError::Fenced(peer)) => {
                 info!(host = %self.id, peer,
@@ -303,26 +315,29 @@
                 self.send(OwnerEvent::Fenced);
                 Err(RETRY_DELAY_MS)
             }
-            Err(error) => {
-                if self.answering.swap(false, Ordering::Relaxed) {
-                    info!(host = %self.id, %error, "hosts: the executor stopped answering polls.");
-                } else {
-                    debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
-                }
-                locked(&self.lease).record_silence();
-                if let Some(failure) = failure_of(&error, received.since(sent)) {
-                    self.send(OwnerEvent::PollFailed(self.id.clone(), failure));
-                }
-                let is_broken = matches!(
-                    &error,
-                    PollError::Call(CallError::NoResponse { late: false, .. })
-                );
-                Err(if is_broken {
-                    BROKEN_DELAY_MS
-                } else {
-                    RETRY_DELAY_MS
-                })
-            }
+            Err(error) => Err(self.record_failure(&error, received.since(sent))),
+        }
+    }
+
+    /// Handles a poll that failed after a time; returns the delay until the next one, in milliseconds.
+    fn record_failure(&self, error: &PollError, took: Millis) -> u64 {
+        if self.answering.swap(false, Ordering::Relaxed) {
+            info!(host = %self.id, %error, "hosts: the executor stopped answering polls.");
+        } else {
+            debug!(host = %self.id, %error, "hosts: the poll failed; trying again.");
+        }
+        locked(&self.lease).record_silence();
+        if let Some(failure) = failure_of(error, took) {
+            self.send(OwnerEvent::PollFailed(self.id.clone(), failure));
+        }
+        let is_broken = matches!(
+            error,
+            PollError::Call(CallError::NoResponse { late: false, .. })
+        );
+        if is_broken {
+            BROKEN_DELAY_MS
+        } else {
+            RETRY_DELAY_MS
         }
     }
 
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -11,6 +11,7 @@
 mod large_store;
 mod limits;
 mod lost_takeovers;
+mod many_ends;
 mod outages;
 mod platform;
 mod restarts;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -512,11 +512,17 @@
     extensions: u64,
 }
 
+/// The most ends that an answer to a poll lists.
+const LISTED_ENDS: usize = 500;
+
+/// How long a run with the command `hold` lasts unless it is ended.
+const HELD: Duration = Duration::from_mins(10);
+
 /// The status of an executor's answer to a call that names another one.
 const MISDIRECTED: u16 = 421;
 
-/// An executor; the command of a task is the time in milliseconds that it runs, and `fail` after it
-/// lets its first run fail.
+/// An executor; the command of a task is the time in milliseconds that it runs, or `hold` until
+/// [`Platform::end_held_runs`], and `fail` after it lets its first run fail.
 #[derive(Debug)]
 pub struct Executor {
     id: String,
@@ -641,7 +647,10 @@
         let task = body["task"].as_str().expect("a task").to_owned();
         let run = body["run"].as_u64().expect("a run");
         let mut command = body["spec"].as_str().unwrap_or_default().split(' ');
-        let run_ms = command.next().and_then(|text| text.parse().ok());
+        let run_time = match command.next() {
+            Some("hold") => HELD,
+            text => Duration::from_millis(text.and_then(|text| text.parse().ok()).unwrap_or(100)),
+        };
         let is_failing = run == 1 && command.next() == Some("fail");
         let mut state = locked(&self.state);
         let clock = self.clock();
@@ -658,7 +667,7 @@
         if let Some(reason) = reason {
             return reply(409, &json!({ "clock_ms": clock, "reason": reason }));
         }
-        let until = Instant::now() + Duration::from_millis(run_ms.unwrap_or(100));
+        let until = Instant::now() + run_time;
         let end = (until, if is_failing { "failed" } else { "done" });
         if state.running.insert((task.clone(), run), end).is_none() {
             locked(&self.started).push(StartedRun {
@@ -701,6 +710,7 @@
         let ended: Vec<Value> = state
             .ended
             .iter()
+            .take(LISTED_ENDS)
             .map(|(number, task, run, how)| json!([number, task, run, how, ""]))
             .collect();
         json!({
@@ -872,6 +882,15 @@
         self.cut_off(id, Link::Silent);
     }
 
+    /// Ends all runs on an executor at the same moment.
+    pub fn end_held_runs(&self, id: &str) {
+        let now = Instant::now();
+        let mut state = locked(&self.executors[id].state);
+        for (until, _) in state.running.values_mut() {
+            *until = now;
+        }
+    }
+
     /// Returns whether an owner has polled an executor since it started.
     pub fn is_polled(&self, id: &str) -> bool {
         let executor = self.executors.get(id);
