core: make every claim from what a step demands

Cause: a claim was made in several places. A start claims StepSpec::demand(), without the processor time of a step that fills; a run taken over from the log, one found in a report and one whose job comes later claimed all that the caller asked for. Trace on: after the takeover the small job's step waits with 4 hosts listed, sound, admitted and suitable, 0 roomy.

Change: the field is named requested, and adopt and describe_claim take the demand from the step themselves. The room of a pass and the check against the largest host count the demand as well.

--- a/wigeongate-bench/src/restore.rs
+++ b/wigeongate-bench/src/restore.rs
@@ -341,7 +341,7 @@
         let count = tasks / u32::from(STEPS);
         let step = StepSpec {
             count,
-            size: Resources {
+            requested: Resources {
                 cpu: 6_900,
                 memory: 12_000,
                 accelerators: 0,
--- a/wigeongate-core/src/outlook/control.rs
+++ b/wigeongate-core/src/outlook/control.rs
@@ -233,7 +233,7 @@
 
     fn count_offered(&mut self, flow: &Workflow) {
         let core_ms = flow.spec.steps.iter().map(|step| {
-            let cores = step.size.cpu.div_ceil(1_000);
+            let cores = step.requested.cpu.div_ceil(1_000);
             cores
                 .saturating_mul(u64::from(step.count))
                 .saturating_mul(step.estimate.0)
--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -3,6 +3,7 @@
 //! A [`WorkflowScheduler`] holds the state of the fleet and its jobs. It is deterministic: each
 //! event comes with its time, and the same sequence of events returns the same actions.
 
+mod accounts;
 mod advice;
 mod advice_gates;
 mod allowance;
@@ -45,6 +46,7 @@
 mod urgent_work;
 mod waits;
 
+pub use accounts::{Accounts, HostAccount, StepAccount};
 pub use advice_gates::{AdviceGates, AssignedGate, greeting_delay};
 pub use archive::{Archive, JobEnd, Move, Transfer};
 pub use crash::Crash;
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -3,7 +3,7 @@
 use super::crash::Blame;
 use super::crash_proofs::HostBoot;
 use super::host_loss::Failing;
-use super::spec::{StepId, TaskName, WorkflowId};
+use super::spec::{StepId, StepSpec, TaskName, WorkflowId};
 use crate::collections::HashMap;
 use crate::host_speeds::Speed;
 use crate::ids::{HostId, ZoneId};
@@ -368,10 +368,10 @@
     }
 
     /// Sets the size of a run's claim and whether the run lasts, once its step is known.
-    pub fn describe_claim(&mut self, run: RunKey, size: Resources, lasting: bool) {
+    pub fn describe_claim(&mut self, run: RunKey, step: &StepSpec) {
         if let Some(mut claim) = self.release(run) {
-            claim.size = size;
-            claim.lasting = lasting;
+            claim.size = step.demand();
+            claim.lasting = step.long_running;
             self.claim(run, claim);
         }
     }
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -293,7 +293,7 @@
             && !step.spec.fills
             && !step
                 .spec
-                .size
+                .demand()
                 .fits_in(&self.pass.capacities.get(&rules.service)?.largest)
         {
             return None;
@@ -361,9 +361,9 @@
                 return;
             }
         }
-        let (left, size) = self
-            .step(at)
-            .map_or((0, Resources::ZERO), |step| (step.waiting, step.spec.size));
+        let (left, size) = self.step(at).map_or((0, Resources::ZERO), |step| {
+            (step.waiting, step.spec.demand())
+        });
         if left > 0 && caution >= Caution::Isolated {
             self.count_unplaced(&rules.service);
             self.draft(at, &rules.service, caution, now);
@@ -429,7 +429,8 @@
             self.unreserve(at);
             return;
         }
-        let size = self.step(at).map_or(Resources::ZERO, |step| step.spec.size);
+        let step = self.step(at);
+        let size = step.map_or(Resources::ZERO, |step| step.spec.demand());
         self.claim_capacity(&rules.service, size.times(u64::from(count)));
         if let Some(cost) = rules.advice {
             self.ask_advice(at, rules, cost, now, out);
@@ -483,7 +484,7 @@
         let team = job.flow.team.as_ref()?;
         let maximum = self.rules.teams.get(team)?.maximum;
         let step = job.step(at)?;
-        Some((team, maximum, step.spec.size))
+        Some((team, maximum, step.spec.requested))
     }
 
     fn plan_start(&mut self, name: TaskName, id: &HostId, now: Millis, out: &mut Vec<Action>) {
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -9,6 +9,7 @@
 use super::scheduler::{PendingForget, WorkflowScheduler};
 use super::spec::{StepId, TaskName};
 use crate::ids::HostId;
+use crate::resources::Resources;
 use crate::run_times::Forecast;
 use crate::time::Millis;
 
@@ -198,21 +199,14 @@
         out: &mut Vec<Action>,
     ) {
         let key = (running.task, running.run);
-        let (size, wanted) = match self.jobs.get(&running.task.step.job) {
-            Some(job) => {
-                let step = job.step(running.task.step);
-                let size = step.map(|step| step.spec.size).unwrap_or_default();
-                (size, job.end.is_none())
-            }
-            // Such a run may use all of its host.
-            None => (self.load(id).unwrap_or_default().0, false),
-        };
+        let job = self.jobs.get(&running.task.step.job);
+        let wanted = job.is_some_and(|job| job.end.is_none());
         let claimed = self
             .hosts
             .get(id)
             .is_some_and(|host| host.claims.contains_key(&key));
         if !claimed {
-            self.adopt(id, key, size, now);
+            self.adopt(id, key, now);
         }
         if let Some(task) = self.task(running.task)
             && task.run == running.run
@@ -239,17 +233,20 @@
     }
 
     /// Registers a run that an earlier owner started.
-    pub(super) fn adopt(
-        &mut self,
-        id: &HostId,
-        key: RunKey,
-        size: crate::resources::Resources,
-        now: Millis,
-    ) {
+    pub(super) fn adopt(&mut self, id: &HostId, key: RunKey, now: Millis) {
         let job = self.jobs.get(&key.0.step.job);
         let step = job.and_then(|job| job.step(key.0.step));
         let lasting = step.is_some_and(|step| step.spec.long_running);
+        let demand = step.map(|step| step.spec.demand());
+        let is_known = job.is_some();
         if let Some(host) = self.hosts.get_mut(id) {
+            // A run of an unknown job may use all of its host.
+            let unknown = if is_known {
+                Resources::ZERO
+            } else {
+                host.entry.capacity
+            };
+            let size = demand.unwrap_or(unknown);
             let boot_ms = host.boot_ms;
             host.claim(
                 key,
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -316,7 +316,6 @@
         let Some(step) = Self::step_of(job, task.step) else {
             return;
         };
-        let size = step.spec.size;
         let state = usize::try_from(task.index)
             .ok()
             .and_then(|at| step.tasks.get(at));
@@ -336,7 +335,7 @@
             host.listed = false;
             self.hosts.insert(id.clone(), host);
         }
-        self.adopt(&id, (task, run), size, now);
+        self.adopt(&id, (task, run), now);
         if let Some(host) = self.hosts.get_mut(&id) {
             // A run that needs no adoption may have been the last to start.
             host.newest_batch = newest_batch;
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -259,7 +259,7 @@
             if let Some(spec) = step.map(|step| &step.spec)
                 && let Some(host) = self.hosts.get_mut(&host)
             {
-                host.describe_claim(run, spec.size, spec.long_running);
+                host.describe_claim(run, spec);
             }
             self.attach(&host, run);
             if self.claim(&host, run).is_some_and(|claim| claim.confirmed) {
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -87,8 +87,8 @@
 pub struct StepSpec {
     /// Number of tasks.
     pub count: u32,
-    /// Capacity that one task needs.
-    pub size: Resources,
+    /// Capacity that the caller asks for one task. What a task claims is [`StepSpec::demand`].
+    pub requested: Resources,
     /// The caller's rough estimate of the run time of one task.
     pub estimate: Millis,
     /// Indexes of earlier steps whose tasks must all be done first.
@@ -120,15 +120,16 @@
 }
 
 impl StepSpec {
-    /// Returns the capacity that one task claims on a host.
+    /// Returns the capacity that one task claims on a host. Tasks that fill use only processor time that
+    /// others leave.
     pub const fn demand(&self) -> Resources {
         if self.fills {
             Resources {
                 cpu: 0,
-                ..self.size
+                ..self.requested
             }
         } else {
-            self.size
+            self.requested
         }
     }
 }
--- a/wigeongate-core/tests/lease_model/model.rs
+++ b/wigeongate-core/tests/lease_model/model.rs
@@ -338,7 +338,7 @@
 fn job(id: u64) -> Workflow {
     let step = StepSpec {
         count: 1,
-        size: Resources {
+        requested: Resources {
             cpu: 1_000,
             memory: 1_000,
             accelerators: 0,
--- a/wigeongate-core/tests/outlook/control.rs
+++ b/wigeongate-core/tests/outlook/control.rs
@@ -35,7 +35,7 @@
             command: "assemble".to_owned(),
             steps: vec![StepSpec {
                 count: 10,
-                size: Resources {
+                requested: Resources {
                     cpu: CORE,
                     memory: 1_000,
                     accelerators: 0,
--- a/wigeongate-core/tests/outlook/fleet.rs
+++ b/wigeongate-core/tests/outlook/fleet.rs
@@ -403,7 +403,7 @@
         let estimate = (of.run_ms as f64 * self.scenario.estimate) as u64;
         let step = StepSpec {
             count: of.tasks,
-            size: self.size(of),
+            requested: self.size(of),
             estimate: Millis(estimate),
             gang: of.gang,
             ..StepSpec::default()
@@ -634,7 +634,7 @@
                     let Some((origin, spec, waited)) = self.scheduler.started_step(at, now) else {
                         continue;
                     };
-                    let size = spec.size;
+                    let size = spec.requested;
                     self.forecaster.record_start(&origin, spec, waited, now);
                     let (_, _, queue) = self.accepted[&at.job];
                     let key = (order.host.clone(), order.task, order.run);
--- a/wigeongate-core/tests/outlook/idle_queues.rs
+++ b/wigeongate-core/tests/outlook/idle_queues.rs
@@ -55,7 +55,7 @@
     for at in [3, 700] {
         let step = StepSpec {
             count: 2,
-            size: Resources {
+            requested: Resources {
                 cpu: 1_000,
                 memory: 1_000,
                 ..Resources::ZERO
--- a/wigeongate-core/tests/release_proofs/jobs.rs
+++ b/wigeongate-core/tests/release_proofs/jobs.rs
@@ -33,7 +33,7 @@
 pub fn flow(id: u64, count: u32) -> Workflow {
     let step = StepSpec {
         count,
-        size: Resources {
+        requested: Resources {
             cpu: 1_000,
             memory: 1_000,
             accelerators: 0,
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -24,6 +24,7 @@
 mod orphan_runs;
 mod records;
 mod removed_queues;
+mod restored_accounts;
 mod retention;
 mod retrials;
 mod run_times;
--- a/wigeongate-core/tests/workflow/mixed_load.rs
+++ b/wigeongate-core/tests/workflow/mixed_load.rs
@@ -203,7 +203,7 @@
 
 impl Earned {
     fn count(&mut self, load: &QueueLoad, took_ms: Option<u64>) {
-        let work = u64::from(load.step.count) * load.step.size.cpu * load.step.estimate.0;
+        let work = u64::from(load.step.count) * load.step.requested.cpu * load.step.estimate.0;
         #[expect(clippy::cast_precision_loss, reason = "amounts of work are small")]
         let value = load.value * work as f64 / 1e9;
         let objective = load.objective_ms();
@@ -308,7 +308,7 @@
         (5 * CORE, 850, 7_100, 90, 30.0),
     ];
     for (load, (cpu, estimate_ms, rate, error, value)) in queues.iter_mut().zip(changes) {
-        load.step.size.cpu = cpu;
+        load.step.requested.cpu = cpu;
         load.step.estimate = Millis(estimate_ms);
         load.rate = rate * hosts / 350;
         load.error = error;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -281,7 +281,7 @@
 pub fn step(count: u32, cpu: u64) -> StepSpec {
     StepSpec {
         count,
-        size: Resources {
+        requested: Resources {
             cpu,
             memory: 1_000,
             accelerators: 0,
@@ -700,6 +700,22 @@
         }
     }
 
+    /// Returns the next owner once it and the live one have heard all hosts.
+    pub fn informed_next_owner(&mut self) -> WorkflowScheduler {
+        let mut next = self.restored(&mut Vec::new());
+        // A report says nothing of orders from the moment of its poll.
+        let (sent, now) = (Millis(self.now + 1), Millis(self.now + 2));
+        let ids: Vec<HostId> = self.executors.keys().cloned().collect();
+        for id in ids {
+            let report = self.report_of(&id, sent);
+            let mut actions = Vec::new();
+            self.scheduler.apply_report(&id, &report, now, &mut actions);
+            self.carry_out(actions);
+            next.apply_report(&id, &report, now, &mut Vec::new());
+        }
+        next
+    }
+
     fn poll(&mut self, epoch: u64, id: HostId) {
         let now = Millis(self.now);
         let executor = self.executors.get_mut(&id).expect("the host is known");
@@ -910,7 +926,8 @@
         for action in actions {
             match action {
                 Action::Start(order) => {
-                    let size = self.spec(order.task).map_or(Resources::ZERO, |at| at.size);
+                    let spec = self.spec(order.task);
+                    let size = spec.map_or(Resources::ZERO, StepSpec::demand);
                     let boot_ms = self.executors[&order.host].boot_ms;
                     if self.rng.chance(self.faults.late) {
                         let key = (order.task, order.run);
--- a/wigeongate-core/tests/workflow/world/advice.rs
+++ b/wigeongate-core/tests/workflow/world/advice.rs
@@ -69,7 +69,7 @@
         let capacity: Resources = up().map(|it| it.entry.capacity).sum();
         let fits = |it: &Executor| {
             let free = it.entry.capacity.saturating_sub(&it.used());
-            free.count(&spec.size)
+            free.count(&spec.demand())
         };
         let allowed = up().filter(|it| {
             let is_allowed = self.allowed_percent == 0 || self.is_allowed(at, &it.entry.id);
--- a/wigeongate-core/tests/workflow/world/stored_log.rs
+++ b/wigeongate-core/tests/workflow/world/stored_log.rs
@@ -332,7 +332,7 @@
         }
     }
 
-    fn report_of(&self, id: &HostId, now: Millis) -> HostReport {
+    pub(super) fn report_of(&self, id: &HostId, now: Millis) -> HostReport {
         let executor = &self.executors[id];
         HostReport {
             boot_ms: executor.boot_ms,
--- a/wigeongate/tests/entry/large_store.rs
+++ b/wigeongate/tests/entry/large_store.rs
@@ -150,7 +150,7 @@
         command: "100".to_owned(),
         steps: vec![StepSpec {
             count: TASKS,
-            size: Resources {
+            requested: Resources {
                 cpu: 500,
                 memory: 64,
                 accelerators: 0,
--- a/wigeongate/tests/entry/routes.rs
+++ b/wigeongate/tests/entry/routes.rs
@@ -93,7 +93,7 @@
     let id = "0000000000006003";
     let step = StepSpec {
         count: 2,
-        size: Resources {
+        requested: Resources {
             cpu: 500,
             memory: 64,
             accelerators: 0,
