core: take back a crash that only the registry showed

Cause: two seconds outside the registry counted as final proof, like another boot, so that a later answer of the same boot changed nothing.

Change: such a crash counts as proved at once, since a bad task must not cost further hosts, and stays on record until the task is cleared or the job ends; an answer of the same boot takes it back. A new owner can't tell which proof an earlier one had, and treats each as such.

Measured: two kinds of cuts more in no_job_is_given_up_for_cuts_with_refused_connections; without the change the job ends failed in the first, and with it both pass, as do the other tests of the core's workflow suite.

--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -47,6 +47,8 @@
     lost: Millis,
     /// Since when the registry has not listed its host in a fresh view.
     unlisted: Option<Millis>,
+    /// Whether it counts as ended already, which an answer of the same boot still disproves.
+    is_presumed: bool,
     runs: Vec<RunKey>,
 }
 
@@ -87,10 +89,18 @@
             boot: boot.clone(),
             lost,
             unlisted: None,
+            is_presumed: false,
             runs: vec![run],
         });
     }
 
+    /// Handles that an earlier owner had a proof of the crash under a run; which one is not known.
+    pub fn presume(&mut self, run: RunKey) {
+        for lost in self.lost.iter_mut().filter(|it| it.runs.contains(&run)) {
+            lost.is_presumed = true;
+        }
+    }
+
     /// Returns whether the fate of any process is open.
     pub fn is_empty(&self) -> bool {
         self.lost.is_empty()
@@ -132,6 +142,7 @@
                 let is_later = it.boot.boot_ms != 0 && boot_ms > it.boot.boot_ms;
                 is_later.then_some(Fate::NewBoot)
             }
+            Registration::Missing if it.is_presumed => None,
             Registration::Missing => {
                 let since = *it.unlisted.get_or_insert(now);
                 (now.since(since).0 >= CATCH_UP_MS).then_some(Fate::Unregistered)
@@ -139,27 +150,29 @@
         })
     }
 
-    /// Forgets the runs whose crash no longer matters.
-    pub fn retain(&mut self, is_open: impl Fn(&RunKey) -> bool) {
+    /// Forgets the runs whose crash no longer matters; `matters` gets the run and whether its crash is
+    /// presumed.
+    pub fn retain(&mut self, matters: impl Fn(&RunKey, bool) -> bool) {
         for lost in &mut self.lost {
-            lost.runs.retain(&is_open);
+            lost.runs.retain(|run| matters(run, lost.is_presumed));
         }
         self.lost.retain(|lost| !lost.runs.is_empty());
     }
 
-    /// Removes and returns the processes whose fate is known.
+    /// Returns the processes whose fate has become known, and removes those for which it is final.
     fn settle(&mut self, fate: impl Fn(&mut LostBoot) -> Option<Fate>) -> Vec<Settled> {
         let mut settled = Vec::new();
         self.lost.retain_mut(|lost| {
             let Some(fate) = fate(lost) else {
                 return true;
             };
+            lost.is_presumed = fate == Fate::Unregistered;
             settled.push(Settled {
                 boot: lost.boot.clone(),
                 fate,
-                runs: std::mem::take(&mut lost.runs),
+                runs: lost.runs.clone(),
             });
-            false
+            lost.is_presumed
         });
         settled
     }
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -7,7 +7,7 @@
 use super::evidence::{is_dated, is_ground};
 use super::host::{Claim, Host, RunKey, Stage};
 use super::isolation::Caution;
-use super::job::{Job, Phase, Task, WorkflowStatus};
+use super::job::{Job, Phase, WorkflowStatus};
 use super::message::{Action, HostReport, PollFailure, Proof};
 use super::restore::{CrashRecord, Record};
 use super::scheduler::WorkflowScheduler;
@@ -169,8 +169,8 @@
             let record = Record::CrashedOn(record, boot.host.clone(), boot.boot_ms);
             self.record(record, out);
         }
-        let is_open = |task: &mut Task| task.has_open_crash(crash.run);
-        if self.task(task).is_some_and(is_open) {
+        let known = self.task(task).and_then(|it| it.crash(crash.run));
+        if known.is_some_and(|known| !known.proved) {
             self.crash_proofs.add(boot, *lost, (task, crash.run));
         }
     }
@@ -274,10 +274,11 @@
     /// Forgets the crashes on which nothing depends any more.
     pub(super) fn drop_settled_crashes(&mut self) {
         let jobs = &self.jobs;
-        self.crash_proofs.retain(|(task, run)| {
+        self.crash_proofs.retain(|(task, run), is_presumed| {
             let job = jobs.get(&task.step.job).filter(|job| job.end.is_none());
             let task = job.and_then(|job| job.task(*task));
-            task.is_some_and(|task| task.has_open_crash(*run))
+            let crash = task.and_then(|task| task.crash(*run));
+            crash.is_some_and(|crash| is_presumed || !crash.proved)
         });
     }
 
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -378,10 +378,9 @@
         })
     }
 
-    /// Returns whether it is open if the host of a run has crashed.
-    pub fn has_open_crash(&self, run: u32) -> bool {
-        let mut open = self.crashes.iter().filter(|crash| !crash.proved);
-        open.any(|crash| crash.run == run)
+    /// Returns the crash of the host of a run.
+    pub fn crash(&self, run: u32) -> Option<&Crash> {
+        self.crashes.iter().find(|crash| crash.run == run)
     }
 
     /// Takes back that the host of a run crashed under it.
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -216,6 +216,7 @@
                 if let Some(state) = self.task(*task) {
                     state.prove_crash(*run);
                 }
+                self.crash_proofs.presume((*task, *run));
             }
             _ => {}
         }
--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -46,6 +46,8 @@
     cut_ms: u64,
     /// When the owner is replaced, in milliseconds after each cut.
     takeovers: &'static [u64],
+    /// Whether the registry drops the host during the cut.
+    is_unlisted: bool,
 }
 
 /// One cut that outlasts the lease of 3 s after the other.
@@ -55,6 +57,7 @@
     after_ms: 2_000,
     cut_ms: 5_000,
     takeovers: &[],
+    is_unlisted: false,
 };
 
 impl Cuts {
@@ -82,6 +85,9 @@
             };
             world.run_for(self.after_ms);
             world.cut_off_refusing(&host, self.cut_ms);
+            if self.is_unlisted {
+                world.lapse_registration(&host, self.cut_ms);
+            }
             let mut passed = 0;
             for at in self.takeovers {
                 world.run_for(at - passed);
@@ -118,6 +124,20 @@
             cut_ms: 40_000,
             ..CUTS
         },
+        Cuts {
+            name: "the registry loses the hosts as well",
+            cut_ms: 8_000,
+            is_unlisted: true,
+            ..CUTS
+        },
+        Cuts {
+            name: "the registry loses the hosts as well, and so does each owner",
+            count: 3,
+            cut_ms: 8_000,
+            takeovers: &[7_500],
+            is_unlisted: true,
+            ..CUTS
+        },
         Cuts {
             name: "the owner is lost before the leases expire",
             takeovers: &[1_000],
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -144,8 +144,10 @@
     Accept(HostId),
     /// The successor of a crashed host starts.
     Return(HostId),
-    /// The registration of a crashed host expires.
+    /// The registration of a host expires.
     Unlist(HostId),
+    /// A host registers again.
+    List(HostId),
 }
 
 /// Fault rates, in percent.
@@ -672,6 +674,7 @@
             Message::Accept(id) => self.accept_connections(&id),
             Message::Return(id) => self.start_successor(&id),
             Message::Unlist(id) => self.unlist(&id),
+            Message::List(id) => self.list(&id),
             _ => {}
         }
         self.carry_out(actions);
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -123,6 +123,20 @@
         self.send(ms, Message::Accept(id.clone()));
     }
 
+    /// Lets the registration of a host expire, as that of a crashed one does, until it is back after a
+    /// while.
+    pub fn lapse_registration(&mut self, id: &HostId, ms: u64) {
+        self.send(UNLIST_MS, Message::Unlist(id.clone()));
+        self.send(ms, Message::List(id.clone()));
+    }
+
+    pub(super) fn list(&mut self, id: &HostId) {
+        let executor = self.executors.get_mut(id).expect("the host is known");
+        executor.listed = true;
+        let entry = executor.entry.clone();
+        self.scheduler.list_host(entry, Millis(self.now));
+    }
+
     /// Returns whether a host is cut off with refused connections.
     pub fn is_refusing(&self, id: &HostId) -> bool {
         self.refusing.contains(id)
