core: read what a report says of a judged host in one place

The condition under which a report of the same boot forgets the loss of its host was written a second time, by the boot. Found when the diff was read; no change of behaviour. The core's workflow tests pass.

--- a/wigeongate-core/src/workflow/accounts.rs
+++ b/wigeongate-core/src/workflow/accounts.rs
@@ -56,11 +56,11 @@
     /// Returns what the scheduler counts.
     pub fn accounts(&self) -> Accounts {
         let mut accounts = Accounts::default();
-        for (id, host) in self
+        let claimed = self
             .hosts
             .iter()
-            .filter(|(_, host)| !host.claims.is_empty())
-        {
+            .filter(|(_, host)| !host.claims.is_empty());
+        for (id, host) in claimed {
             let mut account = HostAccount {
                 used: host.used,
                 spare: host.spare(),
--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -47,7 +47,7 @@
     lost: Millis,
     /// Since when the registry has not listed its host in a fresh view.
     unlisted: Option<Millis>,
-    /// Whether it counts as ended already, which an answer of the same boot still disproves.
+    /// Whether its crash counts as proved already, which an answer of the same boot still disproves.
     is_presumed: bool,
     runs: Vec<RunKey>,
 }
@@ -66,6 +66,7 @@
 pub(super) struct Settled {
     pub boot: HostBoot,
     pub fate: Fate,
+    /// The runs under which it seemed to have crashed.
     pub runs: Vec<RunKey>,
 }
 
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -247,12 +247,6 @@
         };
         let settled = self.crash_proofs.answer(&answered, report.sent);
         self.apply_fates(settled, now, out);
-        let Some(host) = self.hosts.get(id) else {
-            return;
-        };
-        if host.blame.is_some() && [0, report.boot_ms].contains(&host.boot_ms) {
-            self.forget_loss(id);
-        }
     }
 
     /// Settles what the registry says of the processes that seemed to have crashed.
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -33,8 +33,11 @@
         let contact = host.contact();
         let is_newest = report.sent > host.reported;
         self.end_boot_runs(id, report, now, out);
+        let is_judged = self.hosts.get(id).is_some_and(|host| host.blame.is_some());
         if rebooted {
             self.isolate_successor(id, now);
+        } else if is_judged {
+            self.forget_loss(id);
         }
         self.settle_answered(id, report, now, out);
         let Some(host) = self.hosts.get_mut(id) else {
