--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -5,7 +5,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, WorkflowScheduler,
+    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, Workflow, WorkflowScheduler,
     WorkflowSettings, WorkflowStatus,
 };
 
@@ -202,6 +202,31 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against a queue that stays suspected of crashes that turned out to be cuts.
+#[test]
+fn a_queue_is_not_suspected_of_crashes_of_hosts_that_went_on() {
+    let hosts = (0..24).map(|at| host(at, 8 * CORE)).collect();
+    let rules = rules(3, Resources::UNBOUNDED);
+    let mut world = World::new(1, hosts, rules, Faults::default());
+    world.run_ms = RUN_MS;
+    world.run_for(100);
+    for job in 1..=3 {
+        let accepted = world.now;
+        let flow = flow(job, vec![step(1, 8 * CORE)], None);
+        world.submit(Workflow { accepted, ..flow });
+        world.run_for(60);
+        let host = world.hosts_running(task(job, 0, 0))[0].clone();
+        world.cut_off_refusing(&host, 2_000);
+        world.run_for(300);
+    }
+    assert!(
+        world.queue_suspected,
+        "the queue is suspected during the cuts"
+    );
+    world.run_for(2_000);
+    assert!(!world.queue_suspected);
+}
+
 /// Guards against bad tasks that cost a host for each lease, since no proof of a crash was awaited.
 #[test]
 fn a_bad_task_costs_three_hosts_if_these_never_return() {
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -218,6 +218,8 @@
     pub crashes: Vec<Crash>,
     /// The tasks whose jobs were given up for crashes, as the owners reported them.
     pub verdicts: Vec<TaskName>,
+    /// Whether the queue was suspected by the last word of the owners.
+    pub queue_suspected: bool,
     /// The number of starts that were ordered on hosts whose process had ended.
     pub refused_starts: u32,
     /// The time from the start of a deadly task to the crash, in milliseconds.
@@ -355,6 +357,7 @@
             deadly: BTreeSet::new(),
             crashes: Vec::new(),
             verdicts: Vec::new(),
+            queue_suspected: false,
             refused_starts: 0,
             crash_delay_ms: 10,
             run_ms: 0,
@@ -971,8 +974,8 @@
                 Action::Released { .. }
                 | Action::HostLost { .. }
                 | Action::LossSettled { .. }
-                | Action::Acquitted { .. }
-                | Action::QueueSuspected { .. } => {}
+                | Action::Acquitted { .. } => {}
+                Action::QueueSuspected { suspected, .. } => self.queue_suspected = suspected,
                 Action::Poll { host } => self.send(1, Message::Poll(host)),
                 Action::Forget {
                     host,
