core: one setting of the tests' world for what becomes of crashed hosts

Whether hosts return and whether they keep their identifiers exclude each other in one case and are one enum now, Comeback.

--- a/wigeongate-core/tests/workflow/bad_queues.rs
+++ b/wigeongate-core/tests/workflow/bad_queues.rs
@@ -3,7 +3,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::workflow::WorkflowStatus;
 
-use super::world::{Faults, Rng, World, flow, host, rules, step};
+use super::world::{Comeback, Faults, Rng, World, flow, host, rules, step};
 use super::{CORE, task};
 
 /// How long jobs arrive, in milliseconds.
@@ -82,7 +82,9 @@
         let hosts = (0..self.hosts).map(|at| host(at, 8 * CORE)).collect();
         let rules = rules(3, Resources::UNBOUNDED);
         let mut world = World::new(seed, hosts, rules, Faults::default());
-        world.keeps_ids = seed.is_multiple_of(2);
+        if seed.is_multiple_of(2) {
+            world.comeback = Comeback::SameId;
+        }
         world.crash_delay_ms = self.delay_ms;
         world.run_for(100);
         let mut rng = Rng::new(seed + 1_000);
--- a/wigeongate-core/tests/workflow/crashes.rs
+++ b/wigeongate-core/tests/workflow/crashes.rs
@@ -6,7 +6,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::workflow::{StepSpec, Workflow, WorkflowStatus};
 
-use super::world::{Faults, World, flow, host, queue, rules, step};
+use super::world::{Comeback, Faults, World, flow, host, queue, rules, step};
 use super::{CORE, task};
 
 /// The hosts that one bad task may crash; with two, its job may be given up.
@@ -48,8 +48,7 @@
     step: StepSpec,
     /// Whether the owner is replaced right after each crash.
     takeovers: bool,
-    /// Whether hosts return under the identifier that they had.
-    keeps_ids: bool,
+    comeback: Comeback,
     crash_delay_ms: u64,
     hosts: usize,
 }
@@ -60,7 +59,7 @@
             name: "one of three tasks is bad",
             step: step(3, CORE),
             takeovers: false,
-            keeps_ids: false,
+            comeback: Comeback::NewId,
             crash_delay_ms: 10,
             hosts: HOSTS_PER_TASK,
         }
@@ -93,12 +92,12 @@
         },
         BadJob {
             name: "hosts keep their identifiers",
-            keeps_ids: true,
+            comeback: Comeback::SameId,
             ..BadJob::default()
         },
         BadJob {
             name: "hosts keep their identifiers and the owner is lost after each crash",
-            keeps_ids: true,
+            comeback: Comeback::SameId,
             takeovers: true,
             ..BadJob::default()
         },
@@ -122,7 +121,7 @@
         let bad = task(1, 0, 1);
         world.make_deadly(bad);
         world.crash_delay_ms = case.crash_delay_ms;
-        world.keeps_ids = case.keeps_ids;
+        world.comeback = case.comeback;
         let mut crashes = 0;
         for at in 0..300 {
             world.submit(flow(100 + at, vec![step(2, CORE)], None));
--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -9,7 +9,7 @@
     WorkflowSettings, WorkflowStatus,
 };
 
-use super::world::{Faults, World, flow, host, rules, step};
+use super::world::{Comeback, Faults, World, flow, host, rules, step};
 use super::{CORE, task};
 
 const HOSTS: usize = 8;
@@ -236,7 +236,7 @@
             let mut world = deployment(6_000);
             let bad = task(1, 0, 1);
             world.make_deadly(bad);
-            world.stays_away = true;
+            world.comeback = Comeback::Never;
             world.crash_delay_ms = crash_delay_ms;
             world.submit(flow(1, vec![step(3, CORE)], None));
             let mut crashes = 0;
--- a/wigeongate-core/tests/workflow/verdicts.rs
+++ b/wigeongate-core/tests/workflow/verdicts.rs
@@ -3,7 +3,7 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::workflow::WorkflowStatus;
 
-use super::world::{AWAY_MS, Faults, Rng, World, flow, host, rules, step};
+use super::world::{AWAY_MS, Comeback, Faults, Rng, World, flow, host, rules, step};
 use super::{CORE, task};
 
 /// The hosts of each deployment.
@@ -169,7 +169,9 @@
         let rules = rules(3, Resources::UNBOUNDED);
         let mut world = World::new(seed, hosts, rules, Faults::default());
         let mut rng = Rng::new(seed + 1_000);
-        world.keeps_ids = seed.is_multiple_of(2);
+        if seed.is_multiple_of(2) {
+            world.comeback = Comeback::SameId;
+        }
         world.run_for(100);
         let due = |rng: &mut Rng, mean_ms: u64| mean_ms > 0 && rng.below(mean_ms) < 10;
         let end = world.now + TROUBLE_MS;
@@ -252,12 +254,12 @@
 #[test]
 fn a_job_whose_second_start_got_no_answer_is_not_given_up() {
     // The first host crashes; the second one is cut off just before the order and restarts.
-    for keeps_ids in [false, true] {
+    for comeback in [Comeback::NewId, Comeback::SameId] {
         let hosts = (0..2).map(|at| host(at, 8 * CORE)).collect();
         let rules = rules(3, Resources::UNBOUNDED);
         let mut world = World::new(1, hosts, rules, Faults::default());
         world.lease_ms = 10_000;
-        world.keeps_ids = keeps_ids;
+        world.comeback = comeback;
         world.take_over();
         world.run_for(100);
         world.submit(flow(7, vec![step(4, CORE)], None));
@@ -269,7 +271,7 @@
         world.crash_behind_cut(&second.expect("the other host runs"), 600, 4_500);
         world.run_for(15_000);
         let status = world.status(7);
-        assert_eq!(status, Some(WorkflowStatus::Completed), "{keeps_ids}");
+        assert_eq!(status, Some(WorkflowStatus::Completed), "{comeback:?}");
     }
 }
 
--- a/wigeongate-core/tests/workflow/waiting_jobs.rs
+++ b/wigeongate-core/tests/workflow/waiting_jobs.rs
@@ -9,7 +9,7 @@
     AdviceCost, Caution, Rules, StepSpec, Wait, Workflow, WorkflowStatus,
 };
 
-use super::world::{Faults, Rng, World, flow, host, queue, rules, step};
+use super::world::{Comeback, Faults, Rng, World, flow, host, queue, rules, step};
 use super::{CORE, task};
 
 /// The hosts of each deployment.
@@ -183,7 +183,9 @@
         let mut world = World::new(seed, hosts, rules, Faults::default());
         world.allowed_percent = self.allowed_percent;
         world.lease_ms = 6_000;
-        world.keeps_ids = seed.is_multiple_of(2);
+        if seed.is_multiple_of(2) {
+            world.comeback = Comeback::SameId;
+        }
         world.take_over();
         let mut rng = Rng::new(seed + 4_000);
         world.run_for(100);
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -18,7 +18,7 @@
     WorkflowStatus, departing_lease,
 };
 
-pub use self::outages::AWAY_MS;
+pub use self::outages::{AWAY_MS, Comeback};
 pub use self::stored_log::StoredLog;
 
 /// Duration of a task lease, in milliseconds.
@@ -230,10 +230,8 @@
     pub run_times: HashMap<WorkflowId, u64>,
     /// The gates beside the owner that ask for advice.
     pub other_gates: usize,
-    /// Whether a crashed host returns under the identifier that it had.
-    pub keeps_ids: bool,
-    /// Whether crashed hosts never return.
-    pub stays_away: bool,
+    /// What becomes of a crashed host.
+    pub comeback: Comeback,
     /// The most ends that a report lists.
     pub listed_ends: usize,
     /// Whether a task whose run has ended done must not start again, even if the end is not
@@ -363,8 +361,7 @@
             run_ms: 0,
             run_times: HashMap::default(),
             other_gates: advice::OTHER_GATES,
-            keeps_ids: false,
-            stays_away: false,
+            comeback: Comeback::NewId,
             listed_ends: usize::MAX,
             keeps_ends: false,
             write_ms: 30,
--- a/wigeongate-core/tests/workflow/world/outages.rs
+++ b/wigeongate-core/tests/workflow/world/outages.rs
@@ -12,6 +12,16 @@
 /// The time from a crash until the registration of the host expires, in milliseconds.
 const UNLIST_MS: u64 = 4_500;
 
+/// What becomes of a crashed host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Comeback {
+    /// It returns under another identifier.
+    NewId,
+    /// It returns under the identifier that it had.
+    SameId,
+    Never,
+}
+
 fn successor(id: &HostId) -> HostId {
     HostId::from(format!("{id}+"))
 }
@@ -57,10 +67,10 @@
         // The process breaks off the poll that it holds.
         let broken = Message::PollFailed(id.clone(), PollFailure::NoAnswer);
         self.send(self.break_delay_ms, broken);
-        if !self.stays_away {
+        if self.comeback != Comeback::Never {
             self.send(AWAY_MS, Message::Return(id.clone()));
         }
-        if self.stays_away || !self.keeps_ids {
+        if self.comeback != Comeback::SameId {
             self.send(UNLIST_MS, Message::Unlist(id.clone()));
         }
     }
@@ -216,7 +226,7 @@
     }
 
     pub(super) fn start_successor(&mut self, id: &HostId) {
-        if self.keeps_ids {
+        if self.comeback == Comeback::SameId {
             let executor = self.executors.get_mut(id).expect("the host is known");
             executor.dead = false;
             self.set_reachable(id, true);
