core: the key of a run stands beside the name of its task

crash_proofs.rs imported the key from host.rs, which imports HostBoot from it, so that the circle of files round the scheduler had grown by one. The key is a pair of a task's name and a number; spec.rs imports nothing of the circle. crash_proofs.rs and orphan_runs.rs stand outside it now.

--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -10,8 +10,7 @@
 
 use super::crash_proofs::HostBoot;
 use super::evidence::Evidence;
-use super::host::RunKey;
-use super::spec::{TaskName, WorkflowId};
+use super::spec::{RunKey, TaskName, WorkflowId};
 use crate::time::Millis;
 
 /// The age below which a run is suspected first, in milliseconds.
--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -9,7 +9,7 @@
 use derive_more::Display;
 
 use super::freshness::CATCH_UP_MS;
-use super::host::RunKey;
+use super::spec::RunKey;
 use crate::ids::HostId;
 use crate::time::Millis;
 
--- a/wigeongate-core/src/workflow/evidence.rs
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -7,12 +7,12 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::{Blame, Crash, OLD_MS, YOUNG_MS};
-use super::host::{Host, RunKey};
+use super::host::Host;
 use super::job::Job;
 use super::message::Action;
 use super::restore::Record;
 use super::scheduler::WorkflowScheduler;
-use super::spec::TaskName;
+use super::spec::{RunKey, TaskName};
 use crate::collections::HashSet;
 use crate::ids::{HostId, ZoneId};
 use crate::time::Millis;
--- a/wigeongate-core/src/workflow/host.rs
+++ b/wigeongate-core/src/workflow/host.rs
@@ -3,7 +3,7 @@
 use super::crash::Blame;
 use super::crash_proofs::HostBoot;
 use super::host_loss::Failing;
-use super::spec::{StepId, StepSpec, TaskName, WorkflowId};
+use super::spec::{RunKey, StepId, StepSpec, TaskName, WorkflowId};
 use crate::collections::HashMap;
 use crate::host_speeds::Speed;
 use crate::ids::{HostId, ZoneId};
@@ -154,9 +154,6 @@
     pub runs_until: Millis,
 }
 
-/// A task and the number of its run.
-pub type RunKey = (TaskName, u32);
-
 /// A host, its runs and its health.
 #[expect(
     clippy::struct_excessive_bools,
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -5,13 +5,13 @@
 use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, Scene, YOUNG_MS};
 use super::crash_proofs::{Fate, HostBoot, Registration, Settled};
 use super::evidence::{is_dated, is_ground};
-use super::host::{Claim, Host, RunKey, Stage};
+use super::host::{Claim, Host, Stage};
 use super::isolation::Caution;
 use super::job::{Job, Phase, WorkflowStatus};
 use super::message::{Action, HostReport, PollFailure, Proof};
 use super::restore::{CrashRecord, Record};
 use super::scheduler::WorkflowScheduler;
-use super::spec::{StepId, TaskName, WorkflowId};
+use super::spec::{RunKey, StepId, TaskName, WorkflowId};
 use crate::ids::HostId;
 use crate::time::Millis;
 
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -7,9 +7,8 @@
 
 use super::crash::{Crash, OLD_MS, YOUNG_MS, is_convicted};
 use super::evidence::{Evidence, is_proof};
-use super::host::RunKey;
 use super::rules::QueueRules;
-use super::spec::{StepId, StepSpec, TaskName, Workflow};
+use super::spec::{RunKey, StepId, StepSpec, TaskName, Workflow};
 use crate::collections::{HashMap, HashSet};
 use crate::ids::HostId;
 use crate::time::Millis;
--- a/wigeongate-core/src/workflow/kept_records.rs
+++ b/wigeongate-core/src/workflow/kept_records.rs
@@ -3,9 +3,8 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
-use super::host::RunKey;
 use super::restore::Record;
-use super::spec::{TaskName, WorkflowId};
+use super::spec::{RunKey, TaskName, WorkflowId};
 use crate::collections::HashMap;
 use crate::ids::HostId;
 
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -7,9 +7,9 @@
 use super::advice_gates::AssignedGate;
 use super::crash_proofs::{Fate, HostBoot};
 use super::evidence::Evidence;
-use super::host::{HostContact, RunKey};
+use super::host::HostContact;
 use super::restore::Record;
-use super::spec::{StepId, TaskName};
+use super::spec::{RunKey, StepId, TaskName};
 use crate::ids::{HostId, QueueId};
 use crate::time::Millis;
 
--- a/wigeongate-core/src/workflow/order_results.rs
+++ b/wigeongate-core/src/workflow/order_results.rs
@@ -1,8 +1,9 @@
 //! Handles the answers of executors to start and stop orders.
 
-use super::host::{RunKey, Stage};
+use super::host::Stage;
 use super::message::{Action, Proof, Refusal, StartResult};
 use super::scheduler::WorkflowScheduler;
+use super::spec::RunKey;
 use crate::ids::HostId;
 use crate::time::Millis;
 
--- a/wigeongate-core/src/workflow/orphan_runs.rs
+++ b/wigeongate-core/src/workflow/orphan_runs.rs
@@ -1,8 +1,7 @@
 //! Runs that hosts report for jobs that are not known, until these are submitted or the runs end: the job
 //! may be archived, or not submitted yet.
 
-use super::host::RunKey;
-use super::spec::WorkflowId;
+use super::spec::{RunKey, WorkflowId};
 use crate::collections::HashMap;
 use crate::ids::HostId;
 
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use super::host::{Claim, Host, HostContact, RunKey, Stage};
+use super::host::{Claim, Host, HostContact, Stage};
 use super::job::{Phase, StepAdvice, WorkflowStatus};
 use super::message::{Action, Ended, HostReport, Proof, RunOutcome, Running};
 use super::restore::Record;
 use super::scheduler::{PendingForget, WorkflowScheduler};
-use super::spec::{StepId, TaskName};
+use super::spec::{RunKey, StepId, TaskName};
 use crate::ids::HostId;
 use crate::resources::Resources;
 use crate::run_times::Forecast;
--- a/wigeongate-core/src/workflow/run_forecasts.rs
+++ b/wigeongate-core/src/workflow/run_forecasts.rs
@@ -1,11 +1,11 @@
 //! Learns run times from the ends of runs, and predicts them for objectives and ranks.
 
-use super::host::{Claim, Host, RunKey};
+use super::host::{Claim, Host};
 use super::host_choice::Need;
 use super::job::{Job, Phase, Step};
 use super::message::{Ended, RunOutcome};
 use super::scheduler::WorkflowScheduler;
-use super::spec::{StepId, StepSpec, Workflow, WorkflowId};
+use super::spec::{RunKey, StepId, StepSpec, Workflow, WorkflowId};
 use crate::ids::{HostId, QueueId};
 use crate::resources::Resources;
 use crate::run_times::{Forecast, RunClass, RunTimes};
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -78,6 +78,9 @@
     pub index: u32,
 }
 
+/// A task and the number of its run.
+pub type RunKey = (TaskName, u32);
+
 /// Specification of a step, a number of equal tasks.
 #[expect(
     clippy::struct_excessive_bools,
--- a/wigeongate-core/src/workflow/speed_choice.rs
+++ b/wigeongate-core/src/workflow/speed_choice.rs
@@ -1,9 +1,9 @@
 //! Learns the speed of hosts from their runs, and prefers hosts by it.
 
-use super::host::{Claim, Host, RunKey};
+use super::host::{Claim, Host};
 use super::host_choice::Need;
 use super::scheduler::WorkflowScheduler;
-use super::spec::TaskName;
+use super::spec::{RunKey, TaskName};
 use crate::host_speeds::{HostSpeeds, OverdueRun, Speed};
 use crate::ids::{HostId, QueueId};
 use crate::time::Millis;
