core: a crash proved by the registry is proved for those suspected later

When a host crashes and doesn't come back, the registry proves it. If the run that was suspected then outlives its trial, the other recent runs on that host are suspected. Their crash stayed unproved: the process counted as settled by the registry, and was not looked up again for runs that were added to it. A task that crashes its hosts late, beside others that had just started, was not given up for such crashes.

Whether a crash counts as proved is kept with each run now, not with the process, so that the next look at the registry proves those that were added.

--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -47,9 +47,21 @@
     lost: Millis,
     /// Since when the registry has not listed its host in a fresh view.
     unlisted: Option<Millis>,
-    /// Whether its crash counts as proved already, which an answer of the same boot still disproves.
+    runs: Vec<SuspectedRun>,
+}
+
+/// A run under which a process may have crashed.
+#[derive(Debug)]
+struct SuspectedRun {
+    key: RunKey,
+    /// Whether the crash counts as proved already, which an answer of the same boot still disproves.
     is_presumed: bool,
-    runs: Vec<RunKey>,
+}
+
+impl LostBoot {
+    fn has_run(&self, key: RunKey) -> bool {
+        self.runs.iter().any(|run| run.key == key)
+    }
 }
 
 /// What the registry says of a host.
@@ -79,10 +91,14 @@
 impl CrashProofs {
     /// Adds a run under which a process may have crashed.
     pub fn add(&mut self, boot: &HostBoot, lost: Millis, run: RunKey) {
+        let added = SuspectedRun {
+            key: run,
+            is_presumed: false,
+        };
         if let Some(known) = self.lost.iter_mut().find(|it| it.boot == *boot) {
             known.lost = known.lost.max(lost);
-            if !known.runs.contains(&run) {
-                known.runs.push(run);
+            if !known.has_run(run) {
+                known.runs.push(added);
             }
             return;
         }
@@ -90,15 +106,15 @@
             boot: boot.clone(),
             lost,
             unlisted: None,
-            is_presumed: false,
-            runs: vec![run],
+            runs: vec![added],
         });
     }
 
     /// Handles that an earlier owner had a proof of the crash under a run; which one is not known.
     pub fn presume(&mut self, run: RunKey) {
-        for lost in self.lost.iter_mut().filter(|it| it.runs.contains(&run)) {
-            lost.is_presumed = true;
+        let runs = self.lost.iter_mut().flat_map(|lost| &mut lost.runs);
+        for presumed in runs.filter(|it| it.key == run) {
+            presumed.is_presumed = true;
         }
     }
 
@@ -143,7 +159,6 @@
                 let is_later = it.boot.boot_ms != 0 && boot_ms > it.boot.boot_ms;
                 is_later.then_some(Fate::NewBoot)
             }
-            Registration::Missing if it.is_presumed => None,
             Registration::Missing => {
                 let since = *it.unlisted.get_or_insert(now);
                 (now.since(since).0 >= CATCH_UP_MS).then_some(Fate::Unregistered)
@@ -155,25 +170,38 @@
     /// presumed.
     pub fn retain(&mut self, matters: impl Fn(&RunKey, bool) -> bool) {
         for lost in &mut self.lost {
-            lost.runs.retain(|run| matters(run, lost.is_presumed));
+            lost.runs.retain(|run| matters(&run.key, run.is_presumed));
         }
         self.lost.retain(|lost| !lost.runs.is_empty());
     }
 
-    /// Returns the processes whose fate has become known, and removes those for which it is final.
+    /// Returns the processes whose fate has become known to any of their runs, and removes those for which
+    /// it is final.
     fn settle(&mut self, fate: impl Fn(&mut LostBoot) -> Option<Fate>) -> Vec<Settled> {
         let mut settled = Vec::new();
         self.lost.retain_mut(|lost| {
             let Some(fate) = fate(lost) else {
                 return true;
             };
-            lost.is_presumed = fate == Fate::Unregistered;
-            settled.push(Settled {
-                boot: lost.boot.clone(),
-                fate,
-                runs: lost.runs.clone(),
-            });
-            lost.is_presumed
+            let is_final = fate != Fate::Unregistered;
+            let news = lost
+                .runs
+                .iter_mut()
+                .filter(|run| is_final || !run.is_presumed);
+            let runs: Vec<RunKey> = news
+                .map(|run| {
+                    run.is_presumed = true;
+                    run.key
+                })
+                .collect();
+            if !runs.is_empty() {
+                settled.push(Settled {
+                    boot: lost.boot.clone(),
+                    fate,
+                    runs,
+                });
+            }
+            !is_final
         });
         settled
     }
--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -5,8 +5,8 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, Workflow, WorkflowScheduler,
-    WorkflowSettings, WorkflowStatus,
+    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, StepSpec, Workflow,
+    WorkflowScheduler, WorkflowSettings, WorkflowStatus,
 };
 
 use super::world::{Comeback, Faults, World, flow, host, rules, step};
@@ -202,6 +202,47 @@
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
+/// Guards against neighbours that crash hosts for good without ever being given up, since the registry had
+/// proved the crash before they were suspected.
+#[test]
+fn a_crash_that_the_registry_proved_counts_for_those_who_are_suspected_later() {
+    let mut hosts: Vec<HostEntry> = (0..HOSTS).map(|at| host(at, 8 * CORE)).collect();
+    for entry in &mut hosts[..2] {
+        entry.labels.push("left".to_owned());
+    }
+    let rules = rules(3, Resources::UNBOUNDED);
+    let mut world = World::new(1, hosts, rules, Faults::default());
+    world.comeback = Comeback::Never;
+    world.run_ms = RUN_MS;
+    world.run_for(100);
+    let on_left = |cpu: u64| StepSpec {
+        requires: Some("left".to_owned()),
+        ..step(1, cpu)
+    };
+    world.submit(flow(1, vec![on_left(5 * CORE)], None));
+    world.run_for(100);
+    let lost = world.hosts_running(task(1, 0, 0))[0].clone();
+    // Keeps the suspect waiting until the registry has proved the crash.
+    world.submit(flow(3, vec![on_left(8 * CORE)], None));
+    world.run_for(2_000);
+    world.submit(flow(2, vec![on_left(CORE)], None));
+    world.run_for(50);
+    world.kill_host(&lost);
+    world.run_for(10_000);
+    assert_eq!(proved_jobs(&world), [2]);
+    world.run_for(6_000);
+    assert_eq!(proved_jobs(&world), [2, 1]);
+}
+
+/// Returns the jobs under whose tasks crashes are proved, in the order of the records.
+fn proved_jobs(world: &World) -> Vec<u64> {
+    let proved = world.records().filter_map(|record| match record {
+        Record::CrashProved(task, _) => Some(task.step.job.0),
+        _ => None,
+    });
+    proved.collect()
+}
+
 /// Guards against a queue that stays suspected of crashes that turned out to be cuts.
 #[test]
 fn a_queue_is_not_suspected_of_crashes_of_hosts_that_went_on() {
