core: runs of cancelled jobs count to their team after a takeover

What callers see: a team at its limit cancels a job while the executor of its runs is cut off from the gates, and the owner is lost. Until that executor reports, or for good, the next owner starts as much again for the team beside runs that go on.

Cause: a new owner took over the runs of open jobs only; those of an ended job counted from the first report of their host on. The owner before counts them until they have ended.

A new owner takes such runs over from the log. The ends of runs that were stopped with their job aren't in the log, so that one record a job (RunsEnded) says when none of them is left; a job that never began and one that has completed need none. Ending a job moves to job_ends.rs.

Measured: runs_of_a_cancelled_job_count_against_their_team_after_a_takeover failed before with one takeover (one run on, the other started beside it). ended_runs_of_a_cancelled_job_do_not_count_after_a_takeover fails without the new record.

--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -164,6 +164,10 @@
     pub lost_runs: bool,
     /// Number of the newest record of such a loss.
     pub loss_record: u64,
+    /// How many runs hold claims; valid once the job has ended.
+    pub claimed_runs: usize,
+    /// Whether an earlier owner has recorded that no run of the ended job is left.
+    pub runs_ended: bool,
     /// Whether an earlier owner may have started tasks of the job.
     pub inherited: bool,
     /// The time by which the job should end, on the scheduler's clock.
@@ -193,6 +197,8 @@
             crashed: Millis::ZERO,
             lost_runs: false,
             loss_record: 0,
+            claimed_runs: 0,
+            runs_ended: false,
             inherited: false,
             objective: Millis((now + time_budget).0.saturating_sub(age.0)),
             time_budget,
@@ -301,6 +307,15 @@
         self.tasks().all(|(_, task)| task.placements.is_empty())
     }
 
+    /// Returns whether a run that the log shows as started may go on.
+    pub fn may_have_runs(&self) -> bool {
+        match self.end {
+            None => true,
+            Some(WorkflowStatus::Completed) => false,
+            Some(_) => !self.runs_ended,
+        }
+    }
+
     /// Returns whether its records may tell a later owner why hosts were lost.
     pub fn has_evidence(&self) -> bool {
         self.lost_runs || self.tasks().any(|(_, task)| !task.crashes.is_empty())
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -1,15 +1,61 @@
-//! What callers and the archive see of the ends of jobs.
+//! Ends jobs, and shows callers and the archive how they have ended.
 
 use super::archive::JobEnd;
 use super::ended_jobs::EndedJobs;
 use super::host::Host;
 use super::job::WorkflowStatus;
 use super::log_checkpoint::JobFate;
+use super::message::Action;
+use super::restore::Record;
 use super::scheduler::WorkflowScheduler;
 use super::spec::WorkflowId;
 use crate::time::Millis;
 
 impl WorkflowScheduler {
+    /// Ends a job and stops its remaining runs.
+    pub(super) fn end_job(
+        &mut self,
+        id: WorkflowId,
+        status: WorkflowStatus,
+        now: Millis,
+        out: &mut Vec<Action>,
+    ) {
+        let number = self.record(Record::Ended(id, status), out);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.end.is_none() {
+            self.counts.end(job);
+        }
+        job.end = Some(status);
+        job.end_record = number;
+        job.ended = now;
+        job.drop_run_state();
+        let runs = job.runs();
+        job.claimed_runs = runs.len();
+        let has_begun = job.tasks().any(|(_, task)| task.run > 0);
+        self.recent_ends.push((now, id));
+        self.remove_steps(id);
+        for (host, run) in runs {
+            self.stop_run(&host, run, now, out);
+        }
+        if has_begun {
+            self.record_runs_ended(id, out);
+        }
+    }
+
+    /// Records that no run of a cancelled or failed job is left, once that is so. The log shows the starts
+    /// of its tasks, but not the ends of those that were stopped.
+    pub(super) fn record_runs_ended(&mut self, id: WorkflowId, out: &mut Vec<Action>) {
+        let is_over = self.jobs.get(&id).is_some_and(|job| {
+            let is_broken_off = job.end.is_some_and(|end| end != WorkflowStatus::Completed);
+            is_broken_off && job.claimed_runs == 0
+        });
+        if is_over {
+            self.record(Record::RunsEnded(id), out);
+        }
+    }
+
     /// Returns the status of a job; an end counts only once its record is written.
     pub fn status(&self, id: WorkflowId) -> Option<WorkflowStatus> {
         let Some(job) = self.jobs.get(&id) else {
--- a/wigeongate-core/src/workflow/kept_records.rs
+++ b/wigeongate-core/src/workflow/kept_records.rs
@@ -237,6 +237,7 @@
         | Record::Acquitted(..)
         | Record::Weighed(..)
         | Record::Released(..)
+        | Record::RunsEnded(_)
         | Record::Started(..)
         | Record::StartedOn(..) => true,
         Record::Done(_)
@@ -272,7 +273,11 @@
         | Record::Acquitted(..)
         | Record::CrashProved(..)
         | Record::Released(..) => NUMBERS_BYTES,
-        Record::Done(_) | Record::GangDone(_) | Record::Ended(..) | Record::Begun(_) => 0,
+        Record::Done(_)
+        | Record::GangDone(_)
+        | Record::Ended(..)
+        | Record::Begun(_)
+        | Record::RunsEnded(_) => 0,
     };
     NAME_BYTES + rest
 }
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -304,6 +304,7 @@
             task.phase = Phase::Placed;
             step.waiting -= 1;
         }
+        job.claimed_runs += usize::from(job.end.is_some());
     }
 
     /// Ends the runs of earlier owners that the first report with all ends in this epoch does not list;
@@ -456,9 +457,18 @@
         let Some(task) = step.task(name.index) else {
             return;
         };
+        let claims = task.placements.len();
         task.placements.retain(|place| *place != (id.clone(), run));
+        let released = claims - task.placements.len();
         task.run = task.run.max(run);
-        if task.phase == Phase::Done || ended {
+        if ended {
+            job.claimed_runs = job.claimed_runs.saturating_sub(released);
+            if released > 0 {
+                self.record_runs_ended(name.step.job, out);
+            }
+            return;
+        }
+        if task.phase == Phase::Done {
             return;
         }
         if !checkpoint.is_empty() {
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -79,6 +79,8 @@
     CrashedOn(CrashRecord, HostId, u64),
     /// The host of a run has crashed for certain.
     CrashProved(TaskName, u32),
+    /// No run of a cancelled or failed job is left.
+    RunsEnded(WorkflowId),
 }
 
 impl Record {
@@ -96,7 +98,7 @@
             | Self::CrashProved(task, _) => task.step.job,
             Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
-            Self::Ended(job, _) | Self::Begun(job) => *job,
+            Self::Ended(job, _) | Self::Begun(job) | Self::RunsEnded(job) => *job,
         }
     }
 }
@@ -134,6 +136,7 @@
                 self.recent_ends.push((now, id));
             }
             Record::Begun(_) => job.started = true,
+            Record::RunsEnded(_) => job.runs_ended = true,
             Record::Started(task, run, host) => self.log_run((*task, *run), host, 0),
             Record::StartedOn(task, run, host, boot_ms) => {
                 self.log_run((*task, *run), host, *boot_ms);
@@ -313,7 +316,7 @@
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
-        let ended = job.end.is_some();
+        let may_run = job.may_have_runs();
         let Some(step) = Self::step_of(job, task.step) else {
             return;
         };
@@ -324,7 +327,7 @@
             let failed = state.failed.contains(&run);
             state.phase == Phase::Done || failed || state.run > run
         });
-        if ended || over || step.failed.contains(&run) {
+        if !may_run || over || step.failed.contains(&run) {
             return;
         }
         if !self.hosts.contains_key(&id) {
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -539,33 +539,6 @@
         }
     }
 
-    /// Ends a job and stops its remaining runs.
-    pub(super) fn end_job(
-        &mut self,
-        id: WorkflowId,
-        status: WorkflowStatus,
-        now: Millis,
-        out: &mut Vec<Action>,
-    ) {
-        let number = self.record(Record::Ended(id, status), out);
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.end.is_none() {
-            self.counts.end(job);
-        }
-        job.end = Some(status);
-        job.end_record = number;
-        job.ended = now;
-        job.drop_run_state();
-        let runs = job.runs();
-        self.recent_ends.push((now, id));
-        self.remove_steps(id);
-        for (host, run) in runs {
-            self.stop_run(&host, run, now, out);
-        }
-    }
-
     /// Returns the capacity claim of a run on a host.
     pub(super) fn claim(&mut self, id: &HostId, run: RunKey) -> Option<&mut Claim> {
         self.hosts.get_mut(id)?.claims.get_mut(&run)
--- a/wigeongate-core/tests/workflow/restored_accounts.rs
+++ b/wigeongate-core/tests/workflow/restored_accounts.rs
@@ -307,6 +307,73 @@
     );
 }
 
+/// Guards against a team over its limit, since a new owner did not count the runs of a cancelled job until
+/// their host reported.
+#[test]
+fn runs_of_a_cancelled_job_count_against_their_team_after_a_takeover() {
+    for takeovers in 0..3 {
+        let limit = Resources {
+            cpu: 8 * CORE,
+            ..Resources::UNBOUNDED
+        };
+        let hosts = (0..2).map(|at| host(at, 8 * CORE)).collect();
+        let mut world = World::new(1, hosts, rules(3, limit), Faults::default());
+        world.run_ms = 60_000;
+        world.run_for(100);
+        world.submit(flow(1, vec![step(1, 8 * CORE)], None));
+        world.run_for(100);
+        let cut = world.hosts_running(task(1, 0, 0))[0].clone();
+        world.set_reachable(&cut, false);
+        world.cancel(1);
+        world.run_for(200);
+        for _ in 0..takeovers {
+            world.take_over();
+            world.run_for(200);
+        }
+        world.submit(flow(2, vec![step(1, 8 * CORE)], None));
+        world.run_for(1_500);
+        let running = world.hosts_running(task(2, 0, 0)).len();
+        assert_eq!(
+            running, 0,
+            "the cancelled run goes on, {takeovers} takeovers"
+        );
+        world.run_for(8_000);
+        let running = world.hosts_running(task(2, 0, 0)).len();
+        assert_eq!(running, 1, "the leases have run out, {takeovers} takeovers");
+        assert_eq!(world.violations, Vec::<String>::new());
+    }
+}
+
+/// Guards against a team that waits after a takeover for runs of a cancelled job that had ended before.
+#[test]
+fn ended_runs_of_a_cancelled_job_do_not_count_after_a_takeover() {
+    for checkpoints in [false, true] {
+        let limit = Resources {
+            cpu: 8 * CORE,
+            ..Resources::UNBOUNDED
+        };
+        let hosts = (0..2).map(|at| host(at, 8 * CORE)).collect();
+        let mut world = World::new(1, hosts, rules(3, limit), Faults::default());
+        if checkpoints {
+            world.enable_checkpoints(eager(), 0);
+        }
+        world.run_ms = 60_000;
+        world.run_for(100);
+        world.submit(flow(1, vec![step(1, 8 * CORE)], None));
+        world.run_for(100);
+        let cut = world.hosts_running(task(1, 0, 0))[0].clone();
+        world.cancel(1);
+        world.run_for(1_000);
+        world.set_reachable(&cut, false);
+        world.take_over();
+        world.run_for(200);
+        world.submit(flow(2, vec![step(1, 8 * CORE)], None));
+        world.run_for(START_MS);
+        let running = world.hosts_running(task(2, 0, 0)).len();
+        assert_eq!(running, 1, "checkpoints: {checkpoints}");
+    }
+}
+
 /// Guards against a test that compares nothing.
 #[test]
 fn accounts_name_what_is_in_use() {
