core: one crash more where the registry alone proves one

What callers see: a job of one task, shown as failed although no executor has crashed. Its executor is cut off from the gates and the registry right after the start, for 12 s; the second one, on which the task starts again when the leases have run out, as well.

Cause: a host that the registry hasn't listed for 2 s counts as crashed until it answers again. Two crashes right after their starts give a job up, and these two were open at the same moment; the answer of the first host came too late to take anything back.

The proof of a crash now says what it rests on: another process in the place of the one that was lost, or the registry alone. Where it is the registry for one of them, three crashes are needed where two would do, as for crashes long after the start. The log holds it with the proof. A bad task whose hosts never return still costs three hosts at most.

Measured: "right after the starts, the registry loses the hosts as well, cuts that overlap" of no_job_is_given_up_for_cuts_with_refused_connections failed before; the row with two lost owners was not reached then. The core's workflow tests pass, among them a_bad_task_costs_three_hosts_if_these_never_return.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -50,7 +50,7 @@
 pub use advice_gates::{AdviceGates, AssignedGate, greeting_delay};
 pub use archive::{Archive, JobEnd, Move, Transfer};
 pub use crash::Crash;
-pub use crash_proofs::{Fate, HostBoot};
+pub use crash_proofs::{CrashProof, Fate, HostBoot};
 pub use ended_jobs::EndedJobs;
 pub use evidence::Evidence;
 pub use freshness::StoreContact;
--- a/wigeongate-core/src/workflow/crash.rs
+++ b/wigeongate-core/src/workflow/crash.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::crash_proofs::HostBoot;
+use super::crash_proofs::{CrashProof, HostBoot};
 use super::evidence::Evidence;
 use super::spec::{RunKey, TaskName, WorkflowId};
 use crate::time::Millis;
@@ -35,9 +35,9 @@
     pub sole: bool,
     /// Whether the run had just started.
     pub young: bool,
-    /// Whether the host's process is known to have ended; stored as a record of its own.
+    /// What proves that the host's process has ended; stored as a record of its own.
     #[serde(skip)]
-    pub proved: bool,
+    pub proof: CrashProof,
 }
 
 /// A run that was lost with its host.
@@ -155,8 +155,9 @@
     let Some(last) = began().next_back() else {
         return crashes.len() >= MAX_CRASHES;
     };
-    // Crashes long after the start prove less, so one more is needed.
-    let needed = if began().all(|crash| crash.young) {
+    // Crashes long after the start prove less, and so does the registry: one more is needed.
+    let is_plain = |crash: &Crash| crash.young && crash.proof == CrashProof::Replaced;
+    let needed = if began().all(is_plain) {
         CONVICTION_CRASHES
     } else {
         CONVICTION_CRASHES + 1
--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -7,6 +7,7 @@
 //! under another owner.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 use super::freshness::CATCH_UP_MS;
 use super::spec::RunKey;
@@ -39,6 +40,29 @@
     Unregistered,
 }
 
+impl Fate {
+    /// Returns what the fate proves of a crash.
+    pub const fn proof(self) -> CrashProof {
+        match self {
+            Self::WentOn => CrashProof::Open,
+            Self::Unregistered => CrashProof::Unregistered,
+            Self::NewBoot | Self::Replaced => CrashProof::Replaced,
+        }
+    }
+}
+
+/// What proves that the process on a host has ended, the weakest first.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum CrashProof {
+    /// Nothing: the host may be cut off.
+    #[default]
+    Open,
+    /// The registry no longer lists the host, which may be cut off from the registry as well.
+    Unregistered,
+    /// Another process has taken its place.
+    Replaced,
+}
+
 /// A process that seems to have crashed, and the runs under which it may have.
 #[derive(Debug)]
 struct LostBoot {
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use super::crash::{Accusation, Blame, Crash, LostRun, OLD_MS, Scene, YOUNG_MS};
-use super::crash_proofs::{Fate, HostBoot, Registration, Settled};
+use super::crash_proofs::{CrashProof, Fate, HostBoot, Registration, Settled};
 use super::evidence::{is_dated, is_ground};
 use super::host::{Claim, Host, Stage};
 use super::isolation::Caution;
@@ -143,7 +143,7 @@
                 run: *run,
                 sole: blame.sole,
                 young: blame.young,
-                proved: false,
+                proof: CrashProof::Open,
             };
             self.suspect(*task, crash, &scene, out);
         }
@@ -170,7 +170,7 @@
             self.record(record, out);
         }
         let known = self.task(task).and_then(|it| it.crash(crash.run));
-        if known.is_some_and(|known| !known.proved) {
+        if known.is_some_and(|known| known.proof < CrashProof::Replaced) {
             self.crash_proofs.add(boot, *lost, (task, crash.run));
         }
     }
@@ -190,7 +190,7 @@
                     run: evidence.run,
                     sole: false,
                     young: false,
-                    proved: false,
+                    proof: CrashProof::Open,
                 };
                 self.suspect(task, crash, &accusation.scene, out);
                 self.record_evidence(task, evidence, out);
@@ -272,7 +272,7 @@
             let job = jobs.get(&task.step.job).filter(|job| job.end.is_none());
             let task = job.and_then(|job| job.task(*task));
             let crash = task.and_then(|task| task.crash(*run));
-            crash.is_some_and(|crash| is_presumed || !crash.proved)
+            crash.is_some_and(|crash| is_presumed || crash.proof < CrashProof::Replaced)
         });
     }
 
@@ -288,7 +288,7 @@
             if fate == Fate::WentOn {
                 self.acquit(&boot, &runs, out);
             } else {
-                let convicted = self.prove_crashes(&runs, out);
+                let convicted = self.prove_crashes(&runs, fate.proof(), out);
                 self.give_up(convicted, now, out);
             }
         }
@@ -314,14 +314,22 @@
         }
     }
 
-    /// Takes crashes under runs for proved; returns the jobs to give up for them.
-    fn prove_crashes(&mut self, runs: &[RunKey], out: &mut Vec<Action>) -> Vec<WorkflowId> {
+    /// Records a proof of the crashes under runs; returns the jobs to give up for them.
+    fn prove_crashes(
+        &mut self,
+        runs: &[RunKey],
+        proof: CrashProof,
+        out: &mut Vec<Action>,
+    ) -> Vec<WorkflowId> {
         let mut convicted = Vec::new();
         for (task, run) in runs {
-            if !self.task(*task).is_some_and(|it| it.prove_crash(*run)) {
+            if !self
+                .task(*task)
+                .is_some_and(|it| it.prove_crash(*run, proof))
+            {
                 continue;
             }
-            self.record(Record::CrashProved(*task, *run), out);
+            self.record(Record::CrashProved(*task, *run, proof), out);
             let job = task.step.job;
             let is_open = self.jobs.get(&job).is_some_and(|job| job.end.is_none());
             if is_open && self.is_guilty(*task) && !convicted.contains(&job) {
@@ -486,7 +494,7 @@
         }
         // The leases of a host that was only cut off expire as well.
         let convicted = if proof.is_of_crash() {
-            self.prove_crashes(&blame.suspects, out)
+            self.prove_crashes(&blame.suspects, CrashProof::Replaced, out)
         } else {
             for (task, _) in &blame.suspects {
                 self.await_proof(*task, now);
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::{Crash, OLD_MS, YOUNG_MS, is_convicted};
+use super::crash_proofs::CrashProof;
 use super::evidence::{Evidence, is_proof};
 use super::rules::QueueRules;
 use super::spec::{RunKey, StepId, StepSpec, TaskName, Workflow};
@@ -276,18 +277,24 @@
     /// Returns whether a task is to be given up for the crashes under it. A host that was only cut off
     /// may still report, so that only proved ones count.
     pub fn is_guilty(&self, name: TaskName) -> bool {
-        self.is_guilty_by(name, |crash| crash.proved)
+        self.is_guilty_by(name, |crash| {
+            (crash.proof > CrashProof::Open).then_some(*crash)
+        })
     }
 
     /// Returns whether a task is to be given up if all crashes under it turn out to be ones.
     pub fn awaits_proof(&self, name: TaskName) -> bool {
-        self.is_guilty_by(name, |_| true)
+        self.is_guilty_by(name, |crash| {
+            Some(Crash {
+                proof: CrashProof::Replaced,
+                ..*crash
+            })
+        })
     }
 
-    fn is_guilty_by(&self, name: TaskName, counts: impl Fn(&Crash) -> bool) -> bool {
+    fn is_guilty_by(&self, name: TaskName, counted: impl Fn(&Crash) -> Option<Crash>) -> bool {
         self.task(name).is_some_and(|task| {
-            let crashes = task.crashes.iter().filter(|crash| counts(crash));
-            let crashes: Vec<Crash> = crashes.copied().collect();
+            let crashes: Vec<Crash> = task.crashes.iter().filter_map(counted).collect();
             is_convicted(&crashes, &task.evidence)
                 && is_proof(&crashes, &task.evidence, self.tasks().count())
         })
@@ -382,12 +389,13 @@
         self.checkpoint = Arc::default();
     }
 
-    /// Records that the host of a run has crashed for certain; returns whether that was open.
-    pub fn prove_crash(&mut self, run: u32) -> bool {
-        let mut open = self.crashes.iter_mut().filter(|crash| !crash.proved);
-        let crash = open.find(|crash| crash.run == run);
+    /// Records a proof that the host of a run has crashed; returns whether it is stronger than those
+    /// before.
+    pub fn prove_crash(&mut self, run: u32, proof: CrashProof) -> bool {
+        let mut weaker = self.crashes.iter_mut().filter(|crash| crash.proof < proof);
+        let crash = weaker.find(|crash| crash.run == run);
         crash.is_some_and(|crash| {
-            crash.proved = true;
+            crash.proof = proof;
             true
         })
     }
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::crash::Crash;
-use super::crash_proofs::HostBoot;
+use super::crash_proofs::{CrashProof, HostBoot};
 use super::evidence::Evidence;
 use super::host::{Host, HostEntry};
 use super::job::{Job, Phase, WorkflowStatus};
@@ -77,8 +77,8 @@
     Begun(WorkflowId),
     /// A boot of a host, in milliseconds since 1970, seems to have crashed under a run.
     CrashedOn(CrashRecord, HostId, u64),
-    /// The host of a run has crashed for certain.
-    CrashProved(TaskName, u32),
+    /// The host of a run has crashed, by this proof.
+    CrashProved(TaskName, u32, CrashProof),
     /// No run of a cancelled or failed job is left.
     RunsEnded(WorkflowId),
 }
@@ -95,7 +95,7 @@
             | Self::Acquitted(task, _)
             | Self::Weighed(task, _)
             | Self::Released(task, _)
-            | Self::CrashProved(task, _) => task.step.job,
+            | Self::CrashProved(task, ..) => task.step.job,
             Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
             Self::Ended(job, _) | Self::Begun(job) | Self::RunsEnded(job) => *job,
@@ -215,9 +215,9 @@
                 };
                 self.log_crash(record, Some(boot));
             }
-            Record::CrashProved(task, run) => {
+            Record::CrashProved(task, run, proof) => {
                 if let Some(state) = self.task(*task) {
-                    state.prove_crash(*run);
+                    state.prove_crash(*run, *proof);
                 }
                 self.crash_proofs.presume((*task, *run));
             }
--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -138,6 +138,21 @@
             is_unlisted: true,
             ..CUTS
         },
+        Cuts {
+            name: "right after the starts, the registry loses the hosts as well, cuts that overlap",
+            after_ms: 30,
+            cut_ms: 12_000,
+            is_unlisted: true,
+            ..CUTS
+        },
+        Cuts {
+            name: "right after the starts, the registry and two owners lose the hosts as well",
+            after_ms: 30,
+            cut_ms: 12_000,
+            takeovers: &[500, 2_500],
+            is_unlisted: true,
+            ..CUTS
+        },
         Cuts {
             name: "the owner is lost before the leases expire",
             takeovers: &[1_000],
@@ -237,7 +252,7 @@
 /// Returns the jobs under whose tasks crashes are proved, in the order of the records.
 fn proved_jobs(world: &World) -> Vec<u64> {
     let proved = world.records().filter_map(|record| match record {
-        Record::CrashProved(task, _) => Some(task.step.job.0),
+        Record::CrashProved(task, ..) => Some(task.step.job.0),
         _ => None,
     });
     proved.collect()
