core: the newest run of a done task is no run that has returned

What operators saw: "goes on after it counted as ended", which stands for a task that may run twice, where none did. The first run of a task ended done behind a cut that outlasted its lease, a second one had started elsewhere and was cut off as well when the first end was listed. The next owner takes over no runs of done tasks; when the second host answered, it held the run for one that had lost its claim.

Nothing can start after the newest run of a done task. It is claimed and stopped as before, without the report.

--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::host::{Claim, Host, HostContact, Stage};
-use super::job::{Phase, StepAdvice, WorkflowStatus};
+use super::job::{Phase, StepAdvice, Task, WorkflowStatus};
 use super::message::{Action, Ended, HostReport, Proof, RunOutcome, Running};
 use super::restore::Record;
 use super::scheduler::{PendingForget, WorkflowScheduler};
@@ -178,8 +178,11 @@
         let key = (running.task, running.run);
         let is_claimed = |host: &Host| host.claims.contains_key(&key);
         let job = self.jobs.get(&running.task.step.job);
-        let newest = job.and_then(|job| job.task(running.task)).map(|it| it.run);
-        // A run with a higher number is one of an earlier owner.
+        let task = job.and_then(|job| job.task(running.task));
+        // A run with a higher number is one of an earlier owner. The newest run of a task that is done
+        // may never have been claimed by this owner, and nothing starts after it.
+        let is_harmless = |task: &&Task| task.phase == Phase::Done && task.run == running.run;
+        let newest = task.filter(|task| !is_harmless(task)).map(|it| it.run);
         let newest = newest.filter(|newest| *newest >= running.run);
         if let Some(newest) = newest
             && !self.hosts.get(id).is_some_and(is_claimed)
--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -176,6 +176,30 @@
     }
 }
 
+/// Guards against false reports of tasks that ran twice: a run of a task that is done was not known to the
+/// next owner.
+#[test]
+fn a_second_run_of_a_done_task_is_stopped_by_the_next_owner() {
+    let mut world = deployment(3_000);
+    world.run_ms = 2_500;
+    world.submit(flow(1, vec![step(1, CORE)], None));
+    world.run_for(2_000);
+    let first = world.hosts_running(task(1, 0, 0))[0].clone();
+    // The first run ends behind the cut, before its lease.
+    world.cut_off_refusing(&first, 4_000);
+    world.run_for(3_500);
+    let second = world.hosts_running(task(1, 0, 0))[0].clone();
+    assert_ne!(first, second);
+    world.cut_off_refusing(&second, 1_500);
+    world.run_for(1_000);
+    assert_eq!(world.status(1), Some(WorkflowStatus::Completed));
+    assert_eq!(world.hosts_running(task(1, 0, 0)), [&second]);
+    world.take_over();
+    world.run_for(1_000);
+    assert!(world.hosts_running(task(1, 0, 0)).is_empty());
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Guards against jobs that go back and forth between hosts that are cut off again and again.
 #[test]
 fn a_task_that_lost_its_host_starts_on_another_machine() {
