--- a/wigeongate-core/tests/workflow/cut_hosts.rs
+++ b/wigeongate-core/tests/workflow/cut_hosts.rs
@@ -2,14 +2,15 @@
 
 use std::sync::Arc;
 
+use wigeongate_core::ids::HostId;
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, StepSpec, Workflow,
+    Crash, CrashRecord, Evidence, HostEntry, HostReport, Record, StepSpec, Workflow, WorkflowId,
     WorkflowScheduler, WorkflowSettings, WorkflowStatus,
 };
 
-use super::world::{Comeback, Faults, World, flow, host, rules, step};
+use super::world::{Comeback, Faults, Rng, World, flow, host, rules, step};
 use super::{CORE, task};
 
 const HOSTS: usize = 8;
@@ -23,6 +24,9 @@
 /// The hosts that one bad task may crash.
 const HOSTS_PER_TASK: usize = 3;
 
+/// Drawn days of cuts.
+const DAYS: u64 = 24;
+
 /// The time between the looks at a task, in milliseconds.
 const LOOK_MS: u64 = 10;
 
@@ -176,6 +180,78 @@
     }
 }
 
+/// How long drawn cuts go on, in milliseconds.
+const TROUBLE_MS: u64 = 40_000;
+
+/// The longest drawn cut, in milliseconds.
+const MAX_CUT_MS: u64 = 12_000;
+
+/// How long a host stays registered from the beginning of a cut from the registry, in milliseconds.
+const REGISTERED_MS: u64 = 5_000;
+
+/// The most hosts that drawn cuts hold off at once.
+const MOST_CUT: usize = 2;
+
+/// Cuts the hosts of a job's first task off, unless too many are.
+fn cut_job(world: &mut World, rng: &mut Rng, job: u64) {
+    let hosts: Vec<HostId> = (world.hosts_running(task(job, 0, 0)).into_iter())
+        .cloned()
+        .collect();
+    for host in hosts {
+        let all = world.live_hosts();
+        let count = all.iter().filter(|id| world.is_refusing(id)).count();
+        if count >= MOST_CUT || world.is_refusing(&host) {
+            continue;
+        }
+        let ms = 1_000 + rng.below(MAX_CUT_MS - 1_000);
+        world.cut_off_refusing(&host, ms);
+        if ms > REGISTERED_MS && rng.chance(50) {
+            world.lapse_registration(&host, ms);
+        }
+    }
+}
+
+/// Guards against innocent jobs shown as failed after any cuts of few hosts.
+#[test]
+fn no_job_is_given_up_on_drawn_days_of_cuts() {
+    let mut wrong = Vec::new();
+    for seed in 0..DAYS {
+        let mut rng = Rng::new(seed + 3_000);
+        let mut world = deployment(3_000 + 1_000 * (seed % 4));
+        let end = world.now + TROUBLE_MS;
+        let mut jobs = 0;
+        while world.now < end {
+            if jobs < 2 || rng.chance(10) {
+                jobs += 1;
+                let count = u32::try_from(1 + rng.below(3)).unwrap_or(1);
+                let run_ms = 500 + rng.below(RUN_MS);
+                world.run_times.insert(WorkflowId(jobs), run_ms);
+                let cpu = CORE * (1 + rng.below(8));
+                world.submit(flow(jobs, vec![step(count, cpu)], None));
+            }
+            let longest = if rng.chance(70) { 400 } else { 3_000 };
+            world.run_for(30 + rng.below(longest));
+            // Few jobs meet most cuts.
+            cut_job(&mut world, &mut rng, 1 + seed % 3 + jobs / 8);
+            if seed % 2 == 1 && rng.chance(4) {
+                world.take_over();
+            }
+        }
+        world.run_for(90_000);
+        for job in 1..=jobs {
+            let shown = world.status(job);
+            if shown != Some(WorkflowStatus::Completed) {
+                wrong.push(format!("seed {seed}, job {job}: {shown:?}"));
+            }
+        }
+        let violations = world.violations.iter();
+        wrong.extend(violations.map(|it| format!("seed {seed}: {it}")));
+    }
+    let count = wrong.len();
+    wrong.truncate(12);
+    assert!(wrong.is_empty(), "{count} in all:\n{}", wrong.join("\n"));
+}
+
 /// Guards against false reports of tasks that ran twice: a run of a task that is done was not known to the
 /// next owner.
 #[test]
