--- a/wigeongate-core/src/workflow/crash_proofs.rs
+++ b/wigeongate-core/src/workflow/crash_proofs.rs
@@ -208,16 +208,13 @@
                 return true;
             };
             let is_final = fate != Fate::Unregistered;
-            let news = lost
-                .runs
-                .iter_mut()
-                .filter(|run| is_final || !run.is_presumed);
-            let runs: Vec<RunKey> = news
-                .map(|run| {
+            let mut runs = Vec::new();
+            for run in &mut lost.runs {
+                if is_final || !run.is_presumed {
                     run.is_presumed = true;
-                    run.key
-                })
-                .collect();
+                    runs.push(run.key);
+                }
+            }
             if !runs.is_empty() {
                 settled.push(Settled {
                     boot: lost.boot.clone(),
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -19,8 +19,8 @@
 /// is known which other hosts were lost at the same moment.
 const SETTLE_MS: u64 = 100;
 
-/// How long a task waits for the proof of a crash on which depends whether it is given up, in
-/// milliseconds. Nothing may ever prove it.
+/// How long a task waits for the proof of a crash that would give it up, in milliseconds. It starts
+/// again after that, since the proof may never come.
 const PROOF_WAIT_MS: u64 = 1_500;
 
 /// The fewest hosts that count as a loss of a rack or an availability zone.
@@ -341,8 +341,7 @@
         convicted
     }
 
-    /// Keeps a task from the next host for a while if that would be needless, should the crashes under
-    /// it turn out to be ones.
+    /// Delays the next start of a task if the proof of a crash under it would give it up.
     pub(super) fn await_proof(&mut self, name: TaskName, now: Millis) {
         let job = self.jobs.get(&name.step.job);
         if job.is_some_and(|job| job.awaits_proof(name))
--- a/wigeongate/src/entry/owner/run_reports.rs
+++ b/wigeongate/src/entry/owner/run_reports.rs
@@ -86,7 +86,7 @@
     pub(super) fn report_fate(&self, boot: &HostBoot, fate: Fate, suspects: &[(TaskName, u32)]) {
         let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
         info!(host = %boot.host, boot_ms = boot.boot_ms, %fate, suspects = names.join(" "),
-            "owner: it is known what became of a host that seemed to have crashed.");
+            "owner: the loss of a host is settled.");
         self.shared.metrics.count("host_fate", &fate.to_string());
     }
 }
