core: a gang waits for the members of its failed run after a takeover

What callers see: a member of a gang fails while another member's executor is cut off from the gates, and the owner is lost. The next owner starts the gang again at once; if the member behind the cut goes on, one task runs twice at the same time.

Cause: a new owner took the run of a gang whose failure is in the log for ended, with all its members. The owner before orders them to stop, and starts the gang again only when each has ended or its lease has run out.

The members are taken over like other runs now. A record, one a run of a gang, says when none of them is left (GangEnded), so that members which had ended before are neither claimed nor waited for.

--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -114,6 +114,8 @@
     pub remaining: u32,
     /// Numbers of the gang's runs that failed.
     pub failed: Vec<u32>,
+    /// The newest run of the gang of which no member is left; zero for none.
+    pub ended_run: u32,
     /// Whether a stop was ordered for every member of the gang's newest run.
     pub gang_stopping: bool,
     /// Advice on the hosts that may run the step.
@@ -467,6 +469,7 @@
             waiting: spec.count,
             remaining: spec.count,
             failed: Vec::new(),
+            ended_run: 0,
             gang_stopping: false,
             advice: StepAdvice::default(),
             ready: None,
--- a/wigeongate-core/src/workflow/kept_records.rs
+++ b/wigeongate-core/src/workflow/kept_records.rs
@@ -4,7 +4,7 @@
 use std::ops::Bound;
 
 use super::restore::Record;
-use super::spec::{RunKey, TaskName, WorkflowId};
+use super::spec::{RunKey, StepId, TaskName, WorkflowId};
 use crate::collections::HashMap;
 use crate::ids::HostId;
 
@@ -97,6 +97,7 @@
             }
             Record::Failed(task, run) => self.settle_start((*task, *run)),
             Record::Done(task) => self.settle_done(*task),
+            Record::GangEnded(step, run) => self.settle_gang(*step, *run),
             _ => {}
         }
         let job = self.jobs.entry(record.job()).or_default();
@@ -130,6 +131,22 @@
         }
     }
 
+    /// Handles that no member of a run of a gang is left.
+    fn settle_gang(&mut self, step: StepId, run: u32) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let member = |index| TaskName { step, index };
+        let starts = job.starts.range((member(0), 0)..=(member(u32::MAX), run));
+        let ended: Vec<RunKey> = starts
+            .map(|(key, _)| *key)
+            .filter(|(_, number)| *number <= run)
+            .collect();
+        for key in ended {
+            self.settle_start(key);
+        }
+    }
+
     /// Handles that a run has ended: its start matters only if it is the newest on its host.
     fn settle_start(&mut self, run: RunKey) {
         let job = self.jobs.get_mut(&run.0.step.job);
@@ -244,6 +261,7 @@
         | Record::GangDone(_)
         | Record::Failed(..)
         | Record::GangFailed(..)
+        | Record::GangEnded(..)
         | Record::Begun(_) => false,
     }
 }
@@ -269,6 +287,7 @@
         Record::Weighed(_, evidence) => EVIDENCE_BYTES + evidence.host.as_str().len(),
         Record::Failed(..)
         | Record::GangFailed(..)
+        | Record::GangEnded(..)
         | Record::Lost(..)
         | Record::Acquitted(..)
         | Record::CrashProved(..)
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -602,15 +602,20 @@
             self.stop_run(host, *run, now, out);
         }
         if members.is_empty() {
-            self.requeue_gang(at, now);
+            self.requeue_gang(at, now, out);
         }
     }
 
     /// Puts a gang back in the waiting state once no member is left on any host.
-    fn requeue_gang(&mut self, at: StepId, now: Millis) {
+    fn requeue_gang(&mut self, at: StepId, now: Millis, out: &mut Vec<Action>) {
         let Some(step) = self.step(at) else { return };
         step.gang_stopping = false;
         let run = step.last_run();
+        if run > step.ended_run {
+            step.ended_run = run;
+            self.record(Record::GangEnded(at, run), out);
+        }
+        let Some(step) = self.step(at) else { return };
         let mut waiting = 0;
         for task in &mut step.tasks {
             task.run = run;
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -81,6 +81,8 @@
     CrashProved(TaskName, u32, CrashProof),
     /// No run of a cancelled or failed job is left.
     RunsEnded(WorkflowId),
+    /// No member of the run of a gang with this number is left, nor of those before.
+    GangEnded(StepId, u32),
 }
 
 impl Record {
@@ -97,7 +99,7 @@
             | Self::Released(task, _)
             | Self::CrashProved(task, ..) => task.step.job,
             Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
-            Self::GangDone(step) | Self::GangFailed(step, _) => step.job,
+            Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => step.job,
             Self::Ended(job, _) | Self::Begun(job) | Self::RunsEnded(job) => *job,
         }
     }
@@ -188,6 +190,11 @@
                     step.record_failure(*run);
                 }
             }
+            Record::GangEnded(at, run) => {
+                if let Some(step) = Self::step_of(job, *at) {
+                    step.ended_run = step.ended_run.max(*run);
+                }
+            }
         }
     }
 
@@ -327,7 +334,7 @@
             let failed = state.failed.contains(&run);
             state.phase == Phase::Done || failed || state.run > run
         });
-        if !may_run || over || step.failed.contains(&run) {
+        if !may_run || over || run <= step.ended_run {
             return;
         }
         if !self.hosts.contains_key(&id) {
--- a/wigeongate-core/tests/workflow/restored_accounts.rs
+++ b/wigeongate-core/tests/workflow/restored_accounts.rs
@@ -6,8 +6,8 @@
 use wigeongate_core::resources::Resources;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Accounts, AdviceCost, HostReport, QueueRules, Running, StepSpec, WorkflowScheduler,
-    WorkflowSettings, WorkflowStatus,
+    Accounts, AdviceCost, HostReport, QueueRules, RunOutcome, Running, StepSpec, TaskName,
+    WorkflowScheduler, WorkflowSettings, WorkflowStatus,
 };
 
 use super::log_checkpoint::eager;
@@ -237,6 +237,28 @@
     found
 }
 
+/// Returns the claims that an owner which has heard no host lacks. Runs of a task that is done may be
+/// among them, since nothing starts after them.
+fn missing(world: &World, next: &Accounts) -> Vec<String> {
+    let live = world.scheduler.accounts();
+    let is_done = |task: TaskName| {
+        let step = live.steps.get(&task.step);
+        world.status(task.step.job.0) == Some(WorkflowStatus::Completed)
+            || step.is_some_and(|step| step.remaining == 0)
+    };
+    let mut found = Vec::new();
+    for (id, host) in &live.hosts {
+        let claims = host.claims.iter().filter(|((task, _), _)| !is_done(*task));
+        for (run, claim) in claims {
+            let other = next.hosts.get(id).and_then(|host| host.claims.get(run));
+            if other != Some(claim) {
+                found.push(format!("host {id}, {run:?} {claim:?}, {other:?} unheard"));
+            }
+        }
+    }
+    found
+}
+
 /// Guards against a new owner that counts capacity, limits or waiting tasks otherwise than the one before.
 /// Reservations are left out: they last for moments, and a pass makes them anew.
 #[test]
@@ -278,14 +300,16 @@
                 if !world.scheduler.is_written(world.scheduler.last_record()) {
                     continue;
                 }
+                let name = format!("{}, seed {seed}, {}", kind.name, world.now);
+                let unheard = world.restored(&mut Vec::new()).accounts();
+                let found = missing(&world, &unheard);
+                wrong.extend(found.into_iter().map(|what| format!("{name}: {what}")));
                 let next = world.informed_next_owner().accounts();
                 let live = world.scheduler.accounts();
                 if live.unsettled + next.unsettled > 0 {
                     continue;
                 }
                 compared += 1;
-                let now = world.now;
-                let name = format!("{}, seed {seed}, {now}", kind.name);
                 let found = differences(&live, &next);
                 wrong.extend(found.into_iter().map(|what| format!("{name}: {what}")));
             }
@@ -374,6 +398,40 @@
     }
 }
 
+/// Guards against a gang that starts again beside a member of its failed run that goes on behind a cut, since
+/// the next owner took the whole run for ended.
+#[test]
+fn a_gang_waits_for_a_member_of_its_failed_run_after_a_takeover() {
+    for takeovers in 0..3 {
+        let hosts = (0..4).map(|at| host(at, 8 * CORE)).collect();
+        let rules = rules(3, Resources::UNBOUNDED);
+        let mut world = World::new(1, hosts, rules, Faults::default());
+        world.run_ms = 60_000;
+        world.run_for(100);
+        let gang = StepSpec {
+            gang: true,
+            ..step(2, 8 * CORE)
+        };
+        world.submit(flow(1, vec![gang], None));
+        world.run_for(100);
+        let cut = world.hosts_running(task(1, 0, 1))[0].clone();
+        world.set_reachable(&cut, false);
+        world.end_run(task(1, 0, 0), RunOutcome::Failed);
+        world.run_for(200);
+        for _ in 0..takeovers {
+            world.take_over();
+            world.run_for(200);
+        }
+        world.run_for(1_500);
+        let running = world.hosts_running(task(1, 0, 1)).len();
+        assert_eq!(running, 1, "the member goes on, {takeovers} takeovers");
+        world.run_for(8_000);
+        let running = world.hosts_running(task(1, 0, 0)).len();
+        assert_eq!(running, 1, "the leases have run out, {takeovers} takeovers");
+        assert_eq!(world.violations, Vec::<String>::new(), "{takeovers}");
+    }
+}
+
 /// Guards against a test that compares nothing.
 #[test]
 fn accounts_name_what_is_in_use() {
