core: hold an occurrence only from its due time until it is done

Cause: Job::new built every task of every occurrence when a job was added, about 140 bytes each, and kept them until the job ended. The gate's resident memory grew by 31 MB with each submission, and in the core alone one such job took 32,074,365 bytes.

Change: an occurrence has a state from its due time until it is done, and a job opens no more occurrences than one placement pass may try (occurrences.rs, open_occurrences.rs); a task has one from its first start until it is done (tasks.rs). What is left of both is ranges of indexes. The log says which occurrences are done (OccurrencesDone), so that a checkpoint keeps one record for a range of them. The end of a step visits its occurrence alone.

--- a/wigeongate-core/src/workflow/accounts.rs
+++ b/wigeongate-core/src/workflow/accounts.rs
@@ -34,7 +34,7 @@
     pub remaining: u32,
     /// The runs of its tasks that hold claims, with their hosts.
     pub placements: Vec<(TaskName, HostId, u32)>,
-    /// How often it, or each of its tasks, has failed.
+    /// How often it, and each of its tasks that has, failed.
     pub failures: Vec<usize>,
 }
 
@@ -84,7 +84,8 @@
                     .map(|(host, (task, run))| (task, host, run))
                     .collect();
                 placements.sort();
-                let of_tasks = step.tasks.iter().map(|task| task.failed.len());
+                let of_tasks = step.tasks.held().map(|(_, task)| task.failed.len());
+                let of_tasks = of_tasks.filter(|failures| *failures > 0);
                 let account = StepAccount {
                     is_ready: step.waiting > 0 && self.ready.contains(&at),
                     waiting: step.waiting,
--- a/wigeongate-core/src/workflow/evidence.rs
+++ b/wigeongate-core/src/workflow/evidence.rs
@@ -96,14 +96,14 @@
 
 /// Returns whether crashes under a task of a job with this many tasks are too many to be a
 /// coincidence.
-pub(super) fn is_proof(crashes: &[Crash], evidence: &[Evidence], tasks: usize) -> bool {
+pub(super) fn is_proof(crashes: &[Crash], evidence: &[Evidence], tasks: u64) -> bool {
     let chance = |crash: &Crash| {
         let known = evidence.iter().find(|it| it.run == crash.run);
         let least = if crash.sole { 0.0 } else { WEAK_CHANCE };
         known.map_or(WEAK_CHANCE, |it| it.chance().max(least))
     };
     let product: f64 = crashes.iter().map(chance).product();
-    product * to_f64(tasks) < VERDICT_CHANCE
+    product * to_f64(usize::try_from(tasks).unwrap_or(usize::MAX)) < VERDICT_CHANCE
 }
 
 /// A host that was lost.
@@ -255,7 +255,7 @@
         let explained: HashSet<HostId> = self
             .jobs
             .values()
-            .flat_map(Job::tasks)
+            .flat_map(Job::held_tasks)
             .flat_map(|(_, task)| &task.evidence)
             .filter(|evidence| evidence.explained)
             .map(|evidence| evidence.host.clone())
--- a/wigeongate-core/src/workflow/host_loss.rs
+++ b/wigeongate-core/src/workflow/host_loss.rs
@@ -566,7 +566,7 @@
                     out.push(Action::Acquitted { task: name });
                 }
             }
-            let is_suspected = job.tasks().any(|(_, task)| task.is_suspect());
+            let is_suspected = job.held_tasks().any(|(_, task)| task.is_suspect());
             for (name, run) in acquitted {
                 self.record(Record::Acquitted(name, run), out);
             }
@@ -581,7 +581,7 @@
     /// Returns the suspected tasks of a job whose runs have lasted for long enough.
     fn outlived(&self, job: &Job, now: Millis) -> Vec<TaskName> {
         let mut outlived = Vec::new();
-        for (name, task) in job.tasks().filter(|(_, task)| task.is_suspect()) {
+        for (name, task) in job.held_tasks().filter(|(_, task)| task.is_suspect()) {
             let trial = Millis(task.trial_ms());
             let lasted = |(host, run): &(HostId, u32)| {
                 self.hosts.get(host).is_some_and(|host| {
@@ -602,7 +602,7 @@
     /// Returns whether a task of a job was the only suspect when its host crashed.
     pub(super) fn is_sole_suspect(&self, id: WorkflowId) -> bool {
         let job = self.jobs.get(&id).filter(|_| self.suspects.contains(&id));
-        job.is_some_and(|job| job.tasks().any(|(_, task)| task.is_sole_suspect()))
+        job.is_some_and(|job| job.held_tasks().any(|(_, task)| task.is_sole_suspect()))
     }
 
     /// Returns how carefully a step has to start, for its job's own crashes or for its queue's.
@@ -614,7 +614,7 @@
         let own = if self.suspects.contains(&at.job) {
             if self.is_sole_suspect(at.job) {
                 Caution::Alone
-            } else if job.tasks().any(|(_, task)| task.is_suspect()) {
+            } else if job.held_tasks().any(|(_, task)| task.is_suspect()) {
                 Caution::Apart
             } else {
                 Caution::None
@@ -639,7 +639,7 @@
     pub(super) fn trial(&self, at: StepId) -> Millis {
         let job = self.jobs.get(&at.job);
         let longest = job.and_then(|job| {
-            let suspects = job.tasks().filter(|(_, task)| task.is_suspect());
+            let suspects = job.held_tasks().filter(|(_, task)| task.is_suspect());
             suspects.map(|(_, task)| task.trial_ms()).max()
         });
         let of_queue = job.and_then(|job| self.queue_trial_ms(&job.flow));
--- a/wigeongate-core/src/workflow/isolation.rs
+++ b/wigeongate-core/src/workflow/isolation.rs
@@ -213,7 +213,7 @@
         let Some(job) = self.jobs.get(&job) else {
             return;
         };
-        if job.tasks().all(|(_, task)| task.crashes.is_empty())
+        if job.held_tasks().all(|(_, task)| task.crashes.is_empty())
             && let Some(record) = self.isolation.queues.get_mut(&job.flow.queue)
         {
             record.crashes.retain(|(known, _)| *known != job.flow.id);
--- a/wigeongate-core/src/workflow/job.rs
+++ b/wigeongate-core/src/workflow/job.rs
@@ -8,8 +8,10 @@
 use super::crash::{Crash, OLD_MS, YOUNG_MS, is_convicted};
 use super::crash_proofs::CrashProof;
 use super::evidence::{Evidence, is_proof};
+use super::occurrences::Occurrences;
 use super::rules::QueueRules;
 use super::spec::{RunKey, StepId, StepSpec, TaskName, Workflow};
+use super::tasks::Tasks;
 use crate::collections::{HashMap, HashSet};
 use crate::ids::HostId;
 use crate::time::Millis;
@@ -53,9 +55,10 @@
 }
 
 /// State of a task.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Phase {
     /// Waits for a host.
+    #[default]
     Waiting,
     /// Has a planned or ordered run on a host.
     Placed,
@@ -64,7 +67,7 @@
 }
 
 /// The state of one task.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Task {
     /// State of the task.
     pub phase: Phase,
@@ -84,6 +87,8 @@
     pub placements: Vec<(HostId, u32)>,
     /// The host of the last failed run.
     pub last_failed_host: Option<HostId>,
+    /// Whether a run of it ended without a success.
+    pub is_rerun: bool,
 }
 
 /// Which hosts may run a step, according to the advice service.
@@ -105,9 +110,9 @@
 #[derive(Debug)]
 pub struct Step {
     /// The caller's specification.
-    pub spec: StepSpec,
+    pub spec: Arc<StepSpec>,
     /// State of each task.
-    pub tasks: Vec<Task>,
+    pub tasks: Tasks,
     /// Number of waiting tasks.
     pub waiting: u32,
     /// Number of tasks that have not succeeded.
@@ -129,15 +134,6 @@
     pub not_before: Millis,
 }
 
-/// One run of all steps of a job.
-#[derive(Debug)]
-pub struct Occurrence {
-    /// The due time in milliseconds since 1970; zero for immediately.
-    pub due: u64,
-    /// The steps.
-    pub steps: Vec<Step>,
-}
-
 /// State of an accepted job.
 #[expect(
     clippy::struct_excessive_bools,
@@ -147,8 +143,8 @@
 pub struct Job {
     /// The job as it was accepted.
     pub flow: Workflow,
-    /// All occurrences of the job.
-    pub occurrences: Vec<Occurrence>,
+    /// Its occurrences.
+    pub occurrences: Occurrences,
     /// Status at the end; `None` while the job is open.
     pub end: Option<WorkflowStatus>,
     /// Number of the record of the end.
@@ -186,11 +182,8 @@
     /// Creates a job without runs; `age` is the time since its acceptance.
     pub fn new(flow: Workflow, rules: &QueueRules, now: Millis, age: Millis) -> Self {
         let time_budget = rules.time_budget(flow.spec.critical_path());
-        let occurrences = (0..flow.spec.occurrences())
-            .map(|at| Occurrence::new(&flow, at))
-            .collect();
         Self {
-            occurrences,
+            occurrences: Occurrences::new(&flow.spec),
             end: None,
             end_record: 0,
             ended: Millis::ZERO,
@@ -237,45 +230,52 @@
         }
     }
 
-    /// Returns the state of a step.
+    /// Returns the state of a step of an occurrence that is held.
     pub fn step(&self, at: StepId) -> Option<&Step> {
-        self.occurrences
-            .get(usize::try_from(at.occurrence).ok()?)?
-            .steps
-            .get(usize::from(at.step))
+        let occurrence = self.occurrences.get(at.occurrence)?;
+        occurrence.steps.get(usize::from(at.step))
     }
 
-    /// Returns the state of a task.
+    /// Returns the state of a task of an occurrence that is held.
     pub fn task(&self, name: TaskName) -> Option<&Task> {
-        let step = self.step(name.step)?;
-        step.tasks.get(usize::try_from(name.index).ok()?)
+        self.step(name.step)?.tasks.get(name.index)
     }
 
-    /// Returns all steps of all occurrences with their names.
+    /// Returns all steps of the occurrences that are held, with their names.
     pub fn steps(&self) -> impl Iterator<Item = (StepId, &Step)> {
         let job = self.flow.id;
-        (0..)
-            .zip(&self.occurrences)
-            .flat_map(move |(occurrence, steps)| {
-                (0..).zip(&steps.steps).map(move |(step, state)| {
-                    let at = StepId {
-                        job,
-                        occurrence,
-                        step,
-                    };
-                    (at, state)
-                })
+        let occurrences = self.occurrences.held();
+        occurrences.flat_map(move |(occurrence, steps)| {
+            (0..).zip(&steps.steps).map(move |(step, state)| {
+                let at = StepId {
+                    job,
+                    occurrence,
+                    step,
+                };
+                (at, state)
             })
+        })
     }
 
-    /// Returns all tasks of all occurrences with their names.
-    pub fn tasks(&self) -> impl Iterator<Item = (TaskName, &Task)> {
+    /// Returns the tasks that have a state of their own, with their names.
+    pub fn held_tasks(&self) -> impl Iterator<Item = (TaskName, &Task)> {
         self.steps().flat_map(|(step, state)| {
             let named = move |(index, task)| (TaskName { step, index }, task);
-            (0..).zip(&state.tasks).map(named)
+            state.tasks.held().map(named)
         })
     }
 
+    /// Returns the number of tasks whose turn may have come.
+    fn opened_tasks(&self) -> u64 {
+        let occurrences = u64::from(self.occurrences.opened().max(1));
+        occurrences.saturating_mul(self.flow.spec.tasks())
+    }
+
+    /// Returns whether a run of the job may have existed.
+    pub fn has_begun(&self) -> bool {
+        self.started || self.held_tasks().any(|(_, task)| task.run > 0)
+    }
+
     /// Returns whether a task is to be given up for the crashes under it. A host that was only cut off
     /// may still report, so that only proved ones count.
     pub fn is_guilty(&self, name: TaskName) -> bool {
@@ -298,22 +298,23 @@
         self.task(name).is_some_and(|task| {
             let crashes: Vec<Crash> = task.crashes.iter().filter_map(counted).collect();
             is_convicted(&crashes, &task.evidence)
-                && is_proof(&crashes, &task.evidence, self.tasks().count())
+                && is_proof(&crashes, &task.evidence, self.opened_tasks())
         })
     }
 
     /// Drops what only further runs would need.
     pub fn drop_run_state(&mut self) {
-        let steps = self.occurrences.iter_mut().flat_map(|it| &mut it.steps);
+        let steps = self.occurrences.held_mut().flat_map(|it| &mut it.steps);
         for step in steps {
             step.advice = StepAdvice::default();
-            step.tasks.iter_mut().for_each(Task::drop_checkpoint);
+            step.tasks.held_mut().for_each(Task::drop_checkpoint);
         }
     }
 
     /// Returns whether no run holds a claim.
     pub fn is_settled(&self) -> bool {
-        self.tasks().all(|(_, task)| task.placements.is_empty())
+        self.held_tasks()
+            .all(|(_, task)| task.placements.is_empty())
     }
 
     /// Returns whether a run that the log shows as started may go on.
@@ -327,22 +328,13 @@
 
     /// Returns whether its records may tell a later owner why hosts were lost.
     pub fn has_evidence(&self) -> bool {
-        self.lost_runs || self.tasks().any(|(_, task)| !task.crashes.is_empty())
+        self.lost_runs || self.held_tasks().any(|(_, task)| !task.crashes.is_empty())
     }
 
     /// Returns every run that holds a claim.
     pub fn runs(&self) -> Vec<(HostId, RunKey)> {
-        let mut runs = Vec::new();
-        for (occurrence, steps) in (0..).zip(&self.occurrences) {
-            for (step, state) in (0..).zip(&steps.steps) {
-                runs.extend(state.runs(StepId {
-                    job: self.flow.id,
-                    occurrence,
-                    step,
-                }));
-            }
-        }
-        runs
+        let steps = self.steps();
+        steps.flat_map(|(at, step)| step.runs(at)).collect()
     }
 }
 
@@ -386,6 +378,17 @@
         runs
     }
 
+    /// Returns whether it holds more than whether it is done: runs, failures, or what is suspected.
+    pub fn has_history(&self) -> bool {
+        !self.placements.is_empty() || !self.crashes.is_empty() || !self.evidence.is_empty()
+    }
+
+    /// Returns whether it is done and nothing more has to be known of it. Runs that ended without a
+    /// success may turn out to go on.
+    pub fn is_settled(&self) -> bool {
+        self.phase == Phase::Done && !self.is_rerun && self.failed.is_empty() && !self.has_history()
+    }
+
     /// Drops the checkpoint, which no further run needs.
     pub fn drop_checkpoint(&mut self) {
         self.checkpoint = Arc::default();
@@ -424,48 +427,11 @@
     }
 }
 
-impl Occurrence {
-    fn new(flow: &Workflow, at: u32) -> Self {
-        let due = flow
-            .spec
-            .repeat
-            .map_or(0, |repeat| repeat.first + u64::from(at) * repeat.interval.0);
-        Self {
-            due,
-            steps: flow.spec.steps.iter().map(Step::new).collect(),
-        }
-    }
-
-    /// Returns whether every task succeeded.
-    pub fn is_done(&self) -> bool {
-        self.steps.iter().all(|step| step.remaining == 0)
-    }
-
-    /// Returns whether all steps that a step depends on are done.
-    pub fn is_ready(&self, step: usize) -> bool {
-        self.steps[step].spec.after.iter().all(|at| {
-            self.steps
-                .get(usize::from(*at))
-                .is_none_or(|step| step.remaining == 0)
-        })
-    }
-}
-
 impl Step {
-    fn new(spec: &StepSpec) -> Self {
-        let task = Task {
-            phase: Phase::Waiting,
-            run: 0,
-            failed: Vec::new(),
-            crashes: Vec::new(),
-            evidence: Vec::new(),
-            cleared: false,
-            checkpoint: Arc::from(""),
-            placements: Vec::new(),
-            last_failed_host: None,
-        };
+    /// Creates the state of a step of which nothing has started.
+    pub fn new(spec: &Arc<StepSpec>) -> Self {
         Self {
-            tasks: vec![task; usize::try_from(spec.count).unwrap_or_default()],
+            tasks: Tasks::new(spec.count),
             waiting: spec.count,
             remaining: spec.count,
             failed: Vec::new(),
@@ -475,13 +441,13 @@
             ready: None,
             queued: Millis::ZERO,
             not_before: Millis::ZERO,
-            spec: spec.clone(),
+            spec: Arc::clone(spec),
         }
     }
 
     /// Returns the task at an index.
     pub fn task(&mut self, index: u32) -> Option<&mut Task> {
-        self.tasks.get_mut(usize::try_from(index).ok()?)
+        self.tasks.get_mut(index)
     }
 
     /// Returns every run that holds a claim; `at` identifies this step.
@@ -491,7 +457,7 @@
             let place = move |(host, run): &(HostId, u32)| (host.clone(), (name, *run));
             task.placements.iter().map(place).collect::<Vec<_>>()
         };
-        (0..).zip(&self.tasks).flat_map(of_task).collect()
+        self.tasks.held().flat_map(of_task).collect()
     }
 
     /// Records a failed run of the gang; returns whether it is new.
@@ -506,11 +472,25 @@
     /// Returns whether the gang or one of its tasks has failed at least this many times.
     pub fn failure_limit_reached(&self, times: u32) -> bool {
         let reached = |runs: &Vec<u32>| u32::try_from(runs.len()).is_ok_and(|runs| runs >= times);
-        reached(&self.failed) || self.tasks.iter().any(|task| reached(&task.failed))
+        reached(&self.failed) || self.tasks.held().any(|(_, task)| reached(&task.failed))
+    }
+
+    /// Gives all members of a gang the number of its newest run.
+    pub fn align_runs(&mut self) {
+        let run = self.last_run();
+        for index in 0..self.spec.count {
+            if let Some(task) = self.tasks.get_mut(index) {
+                task.run = run;
+            }
+        }
     }
 
     /// Returns the highest run number of the tasks.
     pub fn last_run(&self) -> u32 {
-        self.tasks.iter().map(|task| task.run).max().unwrap_or(0)
+        self.tasks
+            .held()
+            .map(|(_, task)| task.run)
+            .max()
+            .unwrap_or(0)
     }
 }
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -33,7 +33,7 @@
         job.drop_run_state();
         let runs = job.runs();
         job.claimed_runs = runs.len();
-        let has_begun = job.tasks().any(|(_, task)| task.run > 0);
+        let has_begun = job.has_begun();
         self.recent_ends.push((now, id));
         self.remove_steps(id);
         for (host, run) in runs {
--- a/wigeongate-core/src/workflow/kept_records.rs
+++ b/wigeongate-core/src/workflow/kept_records.rs
@@ -1,8 +1,10 @@
 //! The records of the log that a new owner may still need, in the order of the log.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 
+use rangemap::RangeInclusiveSet;
+
 use super::restore::Record;
 use super::spec::{RunKey, StepId, TaskName, WorkflowId};
 use crate::collections::HashMap;
@@ -50,6 +52,8 @@
     /// The newest start on each host among the runs that have ended; which run of a host started last
     /// decides who is suspected when the host crashes.
     newest_starts: HashMap<HostId, (RunKey, Position)>,
+    /// Jobs with occurrences that are done and whose records are not folded.
+    unfolded: BTreeSet<WorkflowId>,
 }
 
 impl KeptRecords {
@@ -98,6 +102,9 @@
             Record::Failed(task, run) => self.settle_start((*task, *run)),
             Record::Done(task) => self.settle_done(*task),
             Record::GangEnded(step, run) => self.settle_gang(*step, *run),
+            Record::OccurrencesDone(job, ..) => {
+                self.unfolded.insert(*job);
+            }
             _ => {}
         }
         let job = self.jobs.entry(record.job()).or_default();
@@ -175,6 +182,54 @@
         }
     }
 
+    /// Replaces the records of occurrences that are done by the ranges of their indexes. A record of the
+    /// log must not be folded into one that a checkpoint in progress does not cover.
+    pub fn fold_occurrences(&mut self) {
+        for id in std::mem::take(&mut self.unfolded) {
+            self.fold_job(id);
+        }
+    }
+
+    fn fold_job(&mut self, id: WorkflowId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut done: RangeInclusiveSet<u32> = RangeInclusiveSet::new();
+        let mut places = Vec::new();
+        for at in &job.others {
+            if let Some(Record::OccurrencesDone(_, first, last)) = self.records.get(at) {
+                done.insert(*first..=*last);
+                places.push(*at);
+            }
+        }
+        let records = &mut self.records;
+        job.others.retain(|at| {
+            let is_needless = records.get(at).is_some_and(|record| {
+                let of_done = record.occurrence().is_some_and(|at| done.contains(&at));
+                let is_range = matches!(record, Record::OccurrencesDone(..));
+                is_range || (of_done && !is_outcome(record))
+            });
+            if is_needless {
+                records.remove(at);
+            }
+            !is_needless
+        });
+        // Each range is at the place of one of the records that it replaces.
+        places.sort_unstable();
+        for (range, at) in done.iter().zip(places.into_iter().rev()) {
+            let record = Record::OccurrencesDone(id, *range.start(), *range.end());
+            records.insert(at, record);
+            job.others.push(at);
+        }
+        let ended = job.starts.keys().copied();
+        let ended: Vec<RunKey> = ended
+            .filter(|(task, _)| done.contains(&task.step.occurrence))
+            .collect();
+        for run in ended {
+            self.settle_start(run);
+        }
+    }
+
     /// Handles that a job has ended, and whether no run of it can exist that the owner does not know.
     pub fn end_job(&mut self, id: WorkflowId, runs_known: bool) {
         let records = &mut self.records;
@@ -262,6 +317,7 @@
         | Record::Failed(..)
         | Record::GangFailed(..)
         | Record::GangEnded(..)
+        | Record::OccurrencesDone(..)
         | Record::Begun(_) => false,
     }
 }
@@ -291,6 +347,7 @@
         | Record::Lost(..)
         | Record::Acquitted(..)
         | Record::CrashProved(..)
+        | Record::OccurrencesDone(..)
         | Record::Released(..) => NUMBERS_BYTES,
         Record::Done(_)
         | Record::GangDone(_)
--- a/wigeongate-core/src/workflow/log_checkpoint.rs
+++ b/wigeongate-core/src/workflow/log_checkpoint.rs
@@ -319,6 +319,7 @@
         if view.runs_known() {
             self.kept.retain_hosts(|host| view.has_host(host));
         }
+        self.kept.fold_occurrences();
         self.began = now;
         self.count += 1;
         self.progress = Some(Progress {
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -25,7 +25,7 @@
 const HELD_DIVISOR: u64 = 8;
 
 /// The most steps that one pass tries; when more are ready, the fleet is full for seconds.
-const MAX_STEPS: usize = 256;
+pub(super) const MAX_STEPS: usize = 256;
 
 /// The most late urgent steps among them: those that wait for advice must not use up a pass that other
 /// work in time needs.
@@ -96,6 +96,7 @@
             return;
         }
         self.dirty = false;
+        self.open_backlog(now);
         self.refresh_forecasts(now);
         self.pass = Pass {
             capacities: self.capacities(now),
@@ -114,6 +115,7 @@
         if self.has_suspects() {
             self.find_delayed(&steps, now);
         }
+        let planned = self.planned.len();
         let (mut tried, mut tried_late) = (0, 0);
         for (turn, _, _, step, rank) in steps {
             if tried >= MAX_STEPS {
@@ -130,6 +132,8 @@
             tried += is_tried;
             tried_late += if is_urgent_late { is_tried } else { 0 };
         }
+        // What has started makes room for occurrences that are due.
+        self.dirty |= planned < self.planned.len() && !self.backlog.is_empty();
     }
 
     /// Returns whether a step needs a host in isolation and none is left in this pass. Such steps
@@ -347,9 +351,15 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        let waiting = self.waiting_tasks(at);
         let caution = self.caution(at);
-        for (index, last_failed_host) in waiting {
+        // A suspect that was the only one is tried before the other tasks of its step.
+        let suspects_only = self.step(at).is_some_and(|step| {
+            let mut held = step.tasks.held();
+            held.any(|(_, task)| task.is_sole_suspect())
+        });
+        let mut from = 0;
+        while let Some((index, last_failed_host)) = self.next_waiting(at, from, suspects_only) {
+            from = index + 1;
             let host = self
                 .need(at, rules, now)
                 .and_then(|need| self.best_host(&need, last_failed_host.as_ref()));
@@ -377,18 +387,24 @@
         }
     }
 
-    fn waiting_tasks(&mut self, at: StepId) -> Vec<(u32, Option<HostId>)> {
-        let Some(step) = self.step(at) else {
-            return Vec::new();
+    /// Returns the next waiting task of a step from an index on, with the host of its last failed run.
+    fn next_waiting(
+        &self,
+        at: StepId,
+        from: u32,
+        suspects_only: bool,
+    ) -> Option<(u32, Option<HostId>)> {
+        let step = self.jobs.get(&at.job)?.step(at)?;
+        let index = if suspects_only {
+            let is_next = |(index, task): &(u32, &Task)| {
+                *index >= from && task.phase == Phase::Waiting && task.is_suspect()
+            };
+            step.tasks.held().find(is_next)?.0
+        } else {
+            step.tasks.next_waiting(from)?
         };
-        // A suspect that was the only one is tried before the other tasks of its step.
-        let suspects_only = step.tasks.iter().any(Task::is_sole_suspect);
-        (0..)
-            .zip(&step.tasks)
-            .filter(|(_, task)| task.phase == Phase::Waiting)
-            .filter(|(_, task)| !suspects_only || task.is_suspect())
-            .map(|(index, task)| (index, task.last_failed_host.clone()))
-            .collect()
+        let last_failed_host = step.tasks.get(index)?.last_failed_host.clone();
+        Some((index, last_failed_host))
     }
 
     /// Keeps other jobs off a host until the tasks of a suspected job have passed there.
@@ -416,10 +432,7 @@
             .and_then(|need| self.gang_hosts(&need));
         if let Some(hosts) = hosts {
             if let Some(step) = self.step(at) {
-                let run = step.last_run();
-                for task in &mut step.tasks {
-                    task.run = run;
-                }
+                step.align_runs();
             }
             let caution = self.caution(at);
             for (index, host) in (0..).zip(hosts) {
--- a/wigeongate-core/src/workflow/reports.rs
+++ b/wigeongate-core/src/workflow/reports.rs
@@ -472,8 +472,10 @@
             return;
         }
         if task.phase == Phase::Done {
+            self.settle_task(name, out);
             return;
         }
+        task.is_rerun |= outcome != RunOutcome::Done;
         if !checkpoint.is_empty() {
             task.checkpoint = Arc::from(checkpoint);
         }
@@ -485,6 +487,7 @@
         } else {
             self.finish_task((name, run), outcome, now, out);
         }
+        self.settle_task(name, out);
     }
 
     fn finish_task(
@@ -543,7 +546,7 @@
         }
         if left == 0 {
             self.ready.remove(&name.step);
-            self.advance(name.step.job, now, out);
+            self.advance_after(name.step, now, out);
         }
     }
 
@@ -558,21 +561,19 @@
         let attempts = self.attempts(at);
         let Some(step) = self.step(at) else { return };
         if !checkpoint.is_empty() {
-            for task in &mut step.tasks {
-                task.checkpoint = Arc::from(checkpoint);
+            let checkpoint: Arc<str> = Arc::from(checkpoint);
+            for task in step.tasks.held_mut() {
+                task.checkpoint = Arc::clone(&checkpoint);
             }
         }
         if outcome == RunOutcome::Done && !step.spec.long_running {
-            for task in &mut step.tasks {
-                task.phase = Phase::Done;
-                task.drop_checkpoint();
-            }
+            step.tasks.finish_all();
             step.remaining = 0;
             step.waiting = 0;
             step.advice = StepAdvice::default();
             self.record(Record::GangDone(at), out);
             self.ready.remove(&at);
-            self.advance(at.job, now, out);
+            self.advance_after(at, now, out);
             return;
         }
         if outcome == RunOutcome::Failed && !step.spec.long_running && step.record_failure(run) {
@@ -616,15 +617,13 @@
             self.record(Record::GangEnded(at, run), out);
         }
         let Some(step) = self.step(at) else { return };
-        let mut waiting = 0;
-        for task in &mut step.tasks {
+        for task in step.tasks.held_mut() {
             task.run = run;
             if task.phase != Phase::Done {
                 task.phase = Phase::Waiting;
-                waiting += 1;
             }
         }
-        step.waiting = waiting;
+        step.waiting = step.remaining;
         step.ready.get_or_insert(now);
         step.queued = now;
         self.ready.insert(at);
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -83,6 +83,9 @@
     RunsEnded(WorkflowId),
     /// No member of the run of a gang with this number is left, nor of those before.
     GangEnded(StepId, u32),
+    /// Every task of the occurrences of a job from the first to the last of these succeeded, and none of
+    /// their runs is left.
+    OccurrencesDone(WorkflowId, u32, u32),
 }
 
 impl Record {
@@ -100,7 +103,35 @@
             | Self::CrashProved(task, ..) => task.step.job,
             Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
             Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => step.job,
-            Self::Ended(job, _) | Self::Begun(job) | Self::RunsEnded(job) => *job,
+            Self::Ended(job, _)
+            | Self::Begun(job)
+            | Self::RunsEnded(job)
+            | Self::OccurrencesDone(job, ..) => *job,
+        }
+    }
+
+    /// Returns the occurrence that the record is about; `None` if it is about the job as a whole, or
+    /// about several.
+    pub const fn occurrence(&self) -> Option<u32> {
+        match self {
+            Self::Done(task)
+            | Self::Failed(task, _)
+            | Self::Started(task, ..)
+            | Self::StartedOn(task, ..)
+            | Self::Lost(task, _)
+            | Self::Acquitted(task, _)
+            | Self::Weighed(task, _)
+            | Self::Released(task, _)
+            | Self::CrashProved(task, ..) => Some(task.step.occurrence),
+            Self::Crashed(record) | Self::CrashedOn(record, ..) => {
+                Some(record.task.step.occurrence)
+            }
+            Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => {
+                Some(step.occurrence)
+            }
+            Self::Ended(..) | Self::Begun(_) | Self::RunsEnded(_) | Self::OccurrencesDone(..) => {
+                None
+            }
         }
     }
 }
@@ -164,17 +195,22 @@
                     state.phase = Phase::Done;
                     step.remaining -= 1;
                     step.waiting = step.waiting.saturating_sub(1);
+                    step.tasks.settle(task.index);
                 }
+                job.occurrences.settle(task.step.occurrence);
             }
             Record::GangDone(at) => {
                 job.started = true;
                 if let Some(step) = Self::step_of(job, *at) {
-                    for task in &mut step.tasks {
-                        task.phase = Phase::Done;
-                    }
+                    step.tasks.finish_all();
                     step.remaining = 0;
                     step.waiting = 0;
                 }
+                job.occurrences.settle(at.occurrence);
+            }
+            Record::OccurrencesDone(_, first, last) => {
+                job.started = true;
+                job.occurrences.replay_done(*first..=*last);
             }
             Record::Failed(task, run) => {
                 job.started = true;
@@ -292,7 +328,7 @@
     /// Returns the tasks of an open job under which hosts may have crashed.
     fn crashed_tasks(&self, id: WorkflowId) -> Vec<TaskName> {
         let job = self.jobs.get(&id).filter(|job| job.end.is_none());
-        let tasks = job.into_iter().flat_map(Job::tasks);
+        let tasks = job.into_iter().flat_map(Job::held_tasks);
         let crashed = tasks.filter(|(_, task)| !task.crashes.is_empty());
         crashed.map(|(name, _)| name).collect()
     }
@@ -303,9 +339,8 @@
             return false;
         };
         let attempts = self.rules_of(&job.flow).attempts.max(1);
-        job.occurrences
-            .iter()
-            .flat_map(|occurrence| &occurrence.steps)
+        job.steps()
+            .map(|(_, step)| step)
             .filter(|step| step.remaining > 0 && !step.spec.long_running)
             .any(|step| step.failure_limit_reached(attempts))
     }
@@ -327,9 +362,7 @@
         let Some(step) = Self::step_of(job, task.step) else {
             return;
         };
-        let state = usize::try_from(task.index)
-            .ok()
-            .and_then(|at| step.tasks.get(at));
+        let state = step.tasks.get(task.index);
         let over = state.is_none_or(|state| {
             let failed = state.failed.contains(&run);
             state.phase == Phase::Done || failed || state.run > run
@@ -374,6 +407,7 @@
         if guilty.is_some() || self.is_exhausted(id) {
             self.end_job(id, WorkflowStatus::Failed, now, actions);
         } else {
+            self.record_done(id, actions);
             self.advance(id, now, actions);
         }
     }
--- a/wigeongate-core/src/workflow/run_forecasts.rs
+++ b/wigeongate-core/src/workflow/run_forecasts.rs
@@ -276,8 +276,7 @@
 
 /// Returns whether the task of a run, or its gang, had not ended before.
 fn is_first_end(step: &Step, (name, _): RunKey) -> bool {
-    let index = usize::try_from(name.index).ok();
-    let task = index.and_then(|index| step.tasks.get(index));
+    let task = step.tasks.get(name.index);
     step.remaining > 0 && task.is_some_and(|task| task.phase != Phase::Done)
 }
 
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -130,8 +130,10 @@
     pub(super) last_written: u64,
     /// Ends that hosts may forget once the record with the given number is written.
     pub(super) pending_forgets: Vec<PendingForget>,
-    /// Steps that wait for the due time of their occurrence, in milliseconds since 1970.
-    pub(super) due: BTreeSet<(u64, StepId)>,
+    /// Jobs whose next occurrence is not due, with its due time in milliseconds since 1970.
+    pub(super) due: BTreeSet<(u64, WorkflowId)>,
+    /// Jobs with occurrences that are due and not opened, since enough others wait for hosts.
+    pub(super) backlog: BTreeSet<WorkflowId>,
     pub(super) wall_ms: u64,
     /// The gates that can call the advice service.
     pub(super) advice_gates: AdviceGates,
@@ -371,7 +373,7 @@
     /// since 1970.
     pub fn tick(&mut self, now: Millis, wall_ms: u64, out: &mut Vec<Action>) {
         self.wall_ms = wall_ms;
-        self.ready_due_steps(now);
+        self.open_due(now);
         self.judge_losses(now, out);
         self.settle_registered(now, out);
         self.expire_hosts(now, out);
@@ -383,23 +385,6 @@
         self.dirty = true;
     }
 
-    fn ready_due_steps(&mut self, now: Millis) {
-        while let Some((due, step)) = self.due.first().copied()
-            && due <= self.wall_ms
-        {
-            self.due.pop_first();
-            if let Some(state) = self
-                .jobs
-                .get_mut(&step.job)
-                .and_then(|job| Self::step_of(job, step))
-            {
-                state.ready = Some(now);
-                state.queued = now;
-                self.ready.insert(step);
-            }
-        }
-    }
-
     /// Ends all runs on hosts whose task leases have expired.
     fn expire_hosts(&mut self, now: Millis, out: &mut Vec<Action>) {
         let dead: Vec<HostId> = self
@@ -478,12 +463,10 @@
         self.last_record
     }
 
+    /// Returns the state of a step, whose occurrence is held from now on; `None` if it is done.
     pub(super) fn step_of(job: &mut Job, at: StepId) -> Option<&mut Step> {
-        let occurrence = usize::try_from(at.occurrence).ok()?;
-        job.occurrences
-            .get_mut(occurrence)?
-            .steps
-            .get_mut(usize::from(at.step))
+        let occurrence = job.occurrences.open(at.occurrence)?;
+        occurrence.steps.get_mut(usize::from(at.step))
     }
 
     pub(super) fn step(&mut self, at: StepId) -> Option<&mut Step> {
@@ -501,44 +484,6 @@
         earlier.saturating_mul(STARTS_PER_EPOCH)
     }
 
-    /// Marks the steps that can start as ready, and ends the job if all steps are done.
-    pub(super) fn advance(&mut self, id: WorkflowId, now: Millis, out: &mut Vec<Action>) {
-        let wall_ms = self.wall_ms;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.end.is_some() {
-            return;
-        }
-        let mut done = true;
-        for (at, occurrence) in (0..).zip(&mut job.occurrences) {
-            done &= occurrence.is_done();
-            for step in 0..occurrence.steps.len() {
-                let ready = occurrence.is_ready(step);
-                let state = &mut occurrence.steps[step];
-                if !ready || state.ready.is_some() || state.remaining == 0 {
-                    continue;
-                }
-                let step = StepId {
-                    job: id,
-                    occurrence: at,
-                    step: u16::try_from(step).unwrap_or(u16::MAX),
-                };
-                if occurrence.due > wall_ms {
-                    self.due.insert((occurrence.due, step));
-                } else {
-                    state.ready = Some(now);
-                    state.queued = now;
-                    self.ready.insert(step);
-                }
-            }
-        }
-        self.dirty = true;
-        if done {
-            self.end_job(id, WorkflowStatus::Completed, now, out);
-        }
-    }
-
     /// Returns the capacity claim of a run on a host.
     pub(super) fn claim(&mut self, id: &HostId, run: RunKey) -> Option<&mut Claim> {
         self.hosts.get_mut(id)?.claims.get_mut(&run)
--- a/wigeongate-core/src/workflow/spec.rs
+++ b/wigeongate-core/src/workflow/spec.rs
@@ -148,6 +148,14 @@
     pub count: u32,
 }
 
+impl Repeat {
+    /// Returns when an occurrence is due, in milliseconds since 1970.
+    pub const fn due(&self, at: u32) -> u64 {
+        let offset = (at as u64).saturating_mul(self.interval.0);
+        self.first.saturating_add(offset)
+    }
+}
+
 /// Specification of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkflowSpec {
@@ -165,6 +173,11 @@
         self.repeat.map_or(1, |repeat| repeat.count)
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
     /// Returns the estimated run time of the longest chain of dependent steps.
     pub fn critical_path(&self) -> Millis {
         let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
--- a/wigeongate-core/src/workflow/waits.rs
+++ b/wigeongate-core/src/workflow/waits.rs
@@ -6,7 +6,7 @@
 use super::isolation::Caution;
 use super::job::{Job, Step};
 use super::scheduler::WorkflowScheduler;
-use super::spec::{StepId, WorkflowId};
+use super::spec::StepId;
 use crate::ids::HostId;
 use crate::time::Millis;
 
@@ -49,25 +49,11 @@
 }
 
 impl WorkflowScheduler {
-    /// Returns the number of steps that may start, and of those that wait for their due time.
+    /// Returns the number of steps that may start, and of jobs whose next occurrence is not due.
     pub fn waiting_steps(&self) -> (usize, usize) {
         (self.ready.len(), self.due.len())
     }
 
-    /// Removes the steps of a job from those that may start now or at their due time.
-    pub(super) fn remove_steps(&mut self, id: WorkflowId) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        for (step, _) in job.steps() {
-            self.ready.remove(&step);
-            let at = usize::try_from(step.occurrence).unwrap_or(usize::MAX);
-            if let Some(occurrence) = job.occurrences.get(at) {
-                self.due.remove(&(occurrence.due, step));
-            }
-        }
-    }
-
     /// Returns the oldest `most` of the steps that could start at least `least` ago and of which no
     /// task is known to run.
     pub fn waits(&self, least: Millis, most: usize, now: Millis) -> Vec<Wait> {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -21,6 +21,7 @@
 mod many_ends;
 mod mixed_load;
 mod next_owner;
+mod occurrences;
 mod orphan_runs;
 mod records;
 mod removed_queues;
