--- a/wigeongate-config/src/entry.rs
+++ b/wigeongate-config/src/entry.rs
@@ -190,13 +190,17 @@
     input.deserialize_any(NumberVisitor)
 }
 
-/// Reads a whole number; a fraction is truncated.
+/// Reads a whole number that is not negative; a fraction is truncated.
 fn whole<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
     let value = number(input)?;
+    if value < 0.0 {
+        let error = format!("{value} is negative; 0 or more is allowed");
+        return Err(serde::de::Error::custom(error));
+    }
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "negative numbers become zero, which is rejected or stands for a default"
+        reason = "the value is not negative"
     )]
     Ok(value as u64)
 }
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -160,7 +160,7 @@
             return self.pending(admitted.queue).await;
         }
         let Some(id) = job_api::parse_job_id(&admitted.path_rest) else {
-            return empty_reply(StatusCode::NOT_FOUND);
+            return refuse_identifier(request.method(), &admitted.path_rest);
         };
         match *request.method() {
             Method::POST => self.submit(id, admitted, request).await,
@@ -188,7 +188,7 @@
             Ok(spec) => spec,
             Err(error) => {
                 info!(job = %id, error, "callers: job refused; the body is not a valid job.");
-                return empty_reply(StatusCode::BAD_REQUEST);
+                return bad_request(&error);
             }
         };
         if let Err(refusal) = body.charge(spec.steps.len() * size_of::<StepSpec>()) {
@@ -443,6 +443,28 @@
     reply
 }
 
+/// Builds the reply to a request that is not valid, with the reason.
+fn bad_request(error: &str) -> Reply {
+    let mut reply = json(serde_json::json!({ "error": error }).to_string());
+    *reply.status_mut() = StatusCode::BAD_REQUEST;
+    reply
+}
+
+/// Builds the reply to a path that names no valid job.
+fn refuse_identifier(method: &Method, id: &str) -> Reply {
+    if !job_api::has_capital_digits(id) {
+        return empty_reply(StatusCode::NOT_FOUND);
+    }
+    if *method == Method::POST {
+        info!(
+            job = id,
+            "callers: job refused; its identifier has capital digits."
+        );
+        return bad_request(&format!("the job identifier {id} has capital digits"));
+    }
+    empty_reply(StatusCode::GONE)
+}
+
 /// Builds the reply to a job that is refused for lack of capacity.
 fn refused(reason: RefusalReason, seconds: u64) -> Reply {
     let status = match reason {
