core, entry: let the orders to an executor wait where they can be taken back

Cause: orders to one executor waited in a semaphore of four places, first come first served. A start that waited there could not be withdrawn, and the stops stood in the same line behind the starts, each of which holds its place for 0.7 s if the executor gives no answer.

Change: the orders of a link stand in a queue of the core. Stops go first and have places of their own; a stop takes back the start of its run if that was never sent, and so does a change after which the host may get no work: a drain, an emptied zone, a smaller or new executor, failed polls, stale views. A start that was taken back proves that its run cannot exist; one that was sent without an answer proves nothing. A start waits for 1 s at most, and not beyond its ticket.

Measured: waiting_orders in the entry tests fails before (11 tasks run 0.9 s after the bound) and passes; order_queue and withdrawn_starts are new, the latter with the owner lost between both kinds of starts.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -30,6 +30,7 @@
 mod message;
 mod occurrences;
 mod open_occurrences;
+mod order_queue;
 mod order_results;
 mod orphan_runs;
 mod placement_pass;
@@ -69,6 +70,7 @@
     Action, Advice, Ended, HostReport, PollFailure, Proof, Refusal, RunOutcome, Running,
     StartOrder, StartResult, StopOrder,
 };
+pub use order_queue::{NextOrder, OrderQueue, WaitingStart};
 pub use policies::Policies;
 pub use restore::{CrashRecord, Record, RestoreRest};
 pub use rules::{AdviceCost, QueueRules, Rules, TeamRules};
--- a/wigeongate-core/src/workflow/message.rs
+++ b/wigeongate-core/src/workflow/message.rs
@@ -127,10 +127,13 @@
     /// No connection could be opened.
     #[display("not sent")]
     NotSent,
-    /// The owner did not try to send it: the host has fallen silent since the order, or the owner
-    /// may grant no lease for as long.
+    /// The owner did not try to send it: the host has fallen silent since the order, the owner
+    /// may grant no lease for as long, or the order has waited for too long.
     #[display("held back")]
     Held,
+    /// The owner took it back before it was sent: it is no longer wanted, or its host may get no work.
+    #[display("withdrawn")]
+    Withdrawn,
 }
 
 /// Result of a start order.
@@ -203,6 +206,8 @@
     pub checkpoint: Arc<str>,
     /// The ticket for this step on the host, if the queue requires advice.
     pub ticket: Option<Arc<str>>,
+    /// The latest time at which it may be sent; valid once it is ordered.
+    pub send_until: Millis,
 }
 
 /// An order to stop a run.
@@ -230,8 +235,13 @@
 pub enum Action {
     /// Order a start.
     Start(StartOrder),
-    /// Order a stop.
+    /// Order a stop; a start of the run that was not sent yet is taken back instead.
     Stop(StopOrder),
+    /// Take back the starts on a host that were not sent yet.
+    Withdraw {
+        /// The host.
+        host: HostId,
+    },
     /// Ask the advice service which hosts may run a step.
     Advise {
         /// The step.
--- a/wigeongate-core/src/workflow/order_results.rs
+++ b/wigeongate-core/src/workflow/order_results.rs
@@ -70,11 +70,18 @@
                     host.record_failure(None, now);
                 }
                 Refusal::Boot => host.answered = false,
-                Refusal::Fence | Refusal::Old | Refusal::Room | Refusal::Ticket | Refusal::Held => {
-                }
+                Refusal::Fence
+                | Refusal::Old
+                | Refusal::Room
+                | Refusal::Ticket
+                | Refusal::Held
+                | Refusal::Withdrawn => {}
             }
         }
-        if let Some(step) = self.step(key.0.step) {
+        // A host from which starts are taken back gets no others.
+        if refusal != Refusal::Withdrawn
+            && let Some(step) = self.step(key.0.step)
+        {
             step.not_before = now + Millis(REFUSAL_PAUSE_MS);
             if refusal == Refusal::Ticket {
                 step.advice.allowed.remove(id);
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -566,6 +566,7 @@
             command,
             checkpoint,
             ticket,
+            send_until: Millis::ZERO,
         };
         self.planned.push_back(PlannedStart {
             record,
--- a/wigeongate-core/src/workflow/planned_starts.rs
+++ b/wigeongate-core/src/workflow/planned_starts.rs
@@ -13,6 +13,10 @@
 /// host may drain or its zone may be evacuated, and the limits for both are a few seconds.
 const DECISION_TIMEOUT_MS: u64 = 1_000;
 
+/// How long an order may wait to be sent, in milliseconds; after that another host may start the task
+/// sooner.
+const SEND_TIMEOUT_MS: u64 = 1_000;
+
 /// How long before its expiry a ticket is no longer sent, in milliseconds: the time that the order
 /// takes to reach the host.
 const TICKET_SEND_MS: u64 = 20;
@@ -34,6 +38,7 @@
         let written = self.last_written;
         while let Some(mut plan) = self.planned.pop_front_if(|plan| plan.record <= written) {
             let key = (plan.order.task, plan.order.run);
+            plan.order.send_until = now + Millis(SEND_TIMEOUT_MS);
             let is_current = self.is_current(&plan, now) && self.renew_ticket(&mut plan, now);
             let Some(claim) = self.claim(&plan.order.host, key) else {
                 // The claim is gone: the host has ended or restarted since the decision.
@@ -83,6 +88,20 @@
             return false;
         };
         plan.order.ticket = Some(ticket.clone());
-        *until > now + Millis(TICKET_SEND_MS)
+        let send_until = Millis(until.0.saturating_sub(TICKET_SEND_MS));
+        plan.order.send_until = plan.order.send_until.min(send_until);
+        send_until > now
+    }
+
+    /// Takes back the starts that wait to be sent to hosts which may get no work any more.
+    pub(super) fn withdraw_starts(&self, now: Millis, out: &mut Vec<Action>) {
+        for (id, host) in &self.hosts {
+            let is_shrunk = !host.used.fits_in(&host.entry.capacity);
+            let may_start = !self.is_stale && !is_shrunk && self.accepts_starts(host, now);
+            let mut claims = host.claims.values();
+            if !may_start && claims.any(|claim| claim.stage == Stage::Ordered) {
+                out.push(Action::Withdraw { host: id.clone() });
+            }
+        }
     }
 }
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -380,6 +380,7 @@
         self.clear_suspects(now, out);
         self.update_isolation(now, out);
         self.retry_stops(now, out);
+        self.withdraw_starts(now, out);
         self.forget_hosts();
         self.scan_speeds(now);
         self.dirty = true;
--- a/wigeongate-core/tests/lease_model/model/gates.rs
+++ b/wigeongate-core/tests/lease_model/model/gates.rs
@@ -255,6 +255,7 @@
                 });
             }
             Action::Advise { .. }
+            | Action::Withdraw { .. }
             | Action::Returned { .. }
             | Action::HostLost { .. }
             | Action::LossSettled { .. }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -36,6 +36,7 @@
 mod verdicts;
 mod waiting_jobs;
 mod waiting_suspects;
+mod withdrawn_starts;
 mod world;
 
 use std::sync::Arc;
--- a/wigeongate-core/tests/workflow/world.rs
+++ b/wigeongate-core/tests/workflow/world.rs
@@ -976,7 +976,9 @@
                         format!("run {run} of {task} goes on after it counted as ended");
                     self.violations.push(violation);
                 }
-                Action::Released { .. }
+                // Orders are sent at once here.
+                Action::Withdraw { .. }
+                | Action::Released { .. }
                 | Action::HostLost { .. }
                 | Action::LossSettled { .. }
                 | Action::Acquitted { .. } => {}
--- a/wigeongate/src/entry/hosts.rs
+++ b/wigeongate/src/entry/hosts.rs
@@ -4,15 +4,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::sync::{Notify, Semaphore, mpsc};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tracing::{debug, info};
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    HostEntry, HostLease, HostReport, PollFailure, Refusal, StartLease, StartOrder, StartResult,
-    StopOrder,
+    HostEntry, HostLease, HostReport, NextOrder, OrderQueue, PollFailure, Refusal, StartLease,
+    StartOrder, StartResult, StopOrder, WaitingStart,
 };
 use wigeongate_platform::executor::{ExecutorClient, PollError, Target};
 use wigeongate_platform::http::CallError;
@@ -24,9 +24,6 @@
 /// interval.
 const POLL_WAIT_MS: u64 = 1_500;
 
-/// The most concurrent orders to one executor; each uses a connection of its own.
-const MAX_PARALLEL_ORDERS: usize = 4;
-
 /// The timeout of a poll beyond its wait for the end of a run, in milliseconds.
 const ANSWER_TIMEOUT_MS: u64 = 900;
 
@@ -65,7 +62,7 @@
     orders_allowed: Arc<AtomicBool>,
     /// The latest end of a task lease that may be granted, in milliseconds of the gate's clock.
     last_grant: Arc<AtomicU64>,
-    order_slots: Semaphore,
+    orders: Mutex<OrderQueue>,
     events: mpsc::UnboundedSender<OwnerEvent>,
 }
 
@@ -126,7 +123,7 @@
             answering: AtomicBool::new(false),
             orders_allowed,
             last_grant,
-            order_slots: Semaphore::new(MAX_PARALLEL_ORDERS),
+            orders: Mutex::default(),
             events,
         });
         let stop = CancellationToken::new();
@@ -170,18 +167,26 @@
         });
     }
 
-    /// Sends an order to start a run; the owner gets the result as an event.
+    /// Sends an order to start a run when its turn comes; the owner gets the result as an event.
     pub fn start(&self, order: StartOrder) {
-        let state = Arc::clone(&self.state);
         // The scheduler counts the run as ended once the leases of this moment have expired.
-        let planned = locked(&state.lease).plan_start();
-        tokio::spawn(async move { state.start(order, planned).await });
+        let lease = locked(&self.state.lease).plan_start();
+        locked(&self.state.orders).push_start(WaitingStart { order, lease });
+        self.state.send_orders();
     }
 
-    /// Sends an order to stop a run; the owner gets an event when the executor accepts it.
+    /// Takes back the start of a run if it was not sent yet, and else sends an order to stop the run; the
+    /// owner gets an event when the executor accepts it.
     pub fn stop(&self, order: StopOrder) {
-        let state = Arc::clone(&self.state);
-        tokio::spawn(async move { state.stop(order).await });
+        let withdrawn = locked(&self.state.orders).push_stop(order);
+        self.state.refuse_starts(withdrawn, Refusal::Withdrawn);
+        self.state.send_orders();
+    }
+
+    /// Takes back the starts that were not sent yet; the owner gets the results as events.
+    pub fn withdraw_starts(&self) {
+        let withdrawn = locked(&self.state.orders).withdraw_starts();
+        self.state.refuse_starts(withdrawn, Refusal::Withdrawn);
     }
 }
 
@@ -341,14 +346,50 @@
         }
     }
 
-    async fn start(&self, order: StartOrder, planned: Option<StartLease>) {
-        let _slot = self.order_slots.acquire().await;
+    /// Sends the orders whose turn has come, and refuses those that have waited for too long.
+    fn send_orders(self: &Arc<Self>) {
+        loop {
+            let now = self.shared.now();
+            let (expired, next) = {
+                let mut orders = locked(&self.orders);
+                (orders.withdraw_expired(now), orders.take_next())
+            };
+            self.refuse_starts(expired, Refusal::Held);
+            let Some(next) = next else { return };
+            let state = Arc::clone(self);
+            tokio::spawn(async move {
+                match next {
+                    NextOrder::Start(start) => {
+                        state.start(start).await;
+                        locked(&state.orders).finish_start();
+                    }
+                    NextOrder::Stop(stop) => {
+                        state.stop(stop).await;
+                        locked(&state.orders).finish_stop();
+                    }
+                }
+                state.send_orders();
+            });
+        }
+    }
+
+    /// Tells the owner that starts were never sent and will not be.
+    fn refuse_starts(&self, orders: impl IntoIterator<Item = StartOrder>, refusal: Refusal) {
+        for order in orders {
+            let result = StartResult::Refused(refusal);
+            self.report_start(&order, result);
+        }
+    }
+
+    async fn start(&self, start: WaitingStart) {
+        let WaitingStart { order, lease } = start;
         let started = self.shared.now();
-        let run = (order.task, order.run);
         let may_send =
             |start: &StartLease| locked(&self.lease).may_send(start, started, self.last_grant());
-        let orders_allowed = self.orders_allowed.load(Ordering::Relaxed);
-        let result = match planned.filter(|start| orders_allowed && may_send(start)) {
+        // Nobody learns of a run that is started after the owner has ended.
+        let orders_allowed =
+            self.orders_allowed.load(Ordering::Relaxed) && !self.events.is_closed();
+        let result = match lease.filter(|start| orders_allowed && may_send(start)) {
             None => StartResult::Refused(Refusal::Held),
             Some(StartLease { deadline, .. }) => {
                 match self.executors.start(&self.target(), &order, deadline).await {
@@ -361,6 +402,15 @@
                 }
             }
         };
+        let took = self.shared.now().since(started);
+        self.shared
+            .metrics
+            .record_duration("start_call", "all", took);
+        self.report_start(&order, result);
+    }
+
+    /// Logs and counts the result of a start, and sends it to the owner.
+    fn report_start(&self, order: &StartOrder, result: StartResult) {
         match result {
             StartResult::Refused(refusal) => {
                 info!(task = %order.task, run = order.run, host = %self.id, %refusal,
@@ -370,15 +420,11 @@
             StartResult::Started => self.shared.metrics.count("start", "started"),
             StartResult::Unknown => self.shared.metrics.count("start", "unknown"),
         }
-        let took = self.shared.now().since(started);
-        self.shared
-            .metrics
-            .record_duration("start_call", "all", took);
+        let run = (order.task, order.run);
         self.send(OwnerEvent::StartAnswered(self.id.clone(), run, result));
     }
 
     async fn stop(&self, order: StopOrder) {
-        let _slot = self.order_slots.acquire().await;
         let sent = self.shared.now();
         match self
             .executors
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -566,6 +566,7 @@
                     link.stop(order);
                 }
             }
+            Action::Withdraw { host } => self.withdraw_starts(&host),
             Action::Advise {
                 step,
                 hosts,
@@ -601,12 +602,7 @@
                 fate,
                 suspects,
             } => self.report_fate(&boot, fate, &suspects),
-            Action::Verdict { task, evidence } => {
-                let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
-                self.shared.metrics.count("verdicts", "crashes");
-                info!(%task, job = %task.step.job, evidence = evidence.join("; "),
-                    "owner: hosts crash under a task of the job; the job is given up.");
-            }
+            Action::Verdict { task, evidence } => self.report_verdict(task, &evidence),
             Action::Acquitted { task } => {
                 self.shared.metrics.count("acquittals", "crashes");
                 debug!(%task, "owner: a suspected task did not crash its host.");
@@ -663,6 +659,13 @@
         }
     }
 
+    /// Takes back the starts on a host that were not sent yet.
+    fn withdraw_starts(&self, host: &HostId) {
+        if let Some(link) = self.links.get(host) {
+            link.withdraw_starts();
+        }
+    }
+
     /// Calls the advice service through the gate that the scheduler chose.
     fn advise(&self, call: AdviceCall) {
         let shared = Arc::clone(&self.shared);
--- a/wigeongate/src/entry/owner/run_reports.rs
+++ b/wigeongate/src/entry/owner/run_reports.rs
@@ -2,7 +2,9 @@
 
 use tracing::{info, warn};
 use wigeongate_core::ids::HostId;
-use wigeongate_core::workflow::{Fate, HostBoot, HostContact, HostReport, Proof, TaskName};
+use wigeongate_core::workflow::{
+    Evidence, Fate, HostBoot, HostContact, HostReport, Proof, TaskName,
+};
 
 use super::super::contact_ages::ContactAges;
 use super::Owner;
@@ -82,6 +84,14 @@
         );
     }
 
+    /// Logs and counts that a job is given up for the crashes under a task.
+    pub(super) fn report_verdict(&self, task: TaskName, evidence: &[Evidence]) {
+        let evidence: Vec<String> = evidence.iter().map(ToString::to_string).collect();
+        self.shared.metrics.count("verdicts", "crashes");
+        info!(%task, job = %task.step.job, evidence = evidence.join("; "),
+            "owner: hosts crash under a task of the job; the job is given up.");
+    }
+
     /// Logs what became of a process that seemed to have crashed.
     pub(super) fn report_fate(&self, boot: &HostBoot, fate: Fate, suspects: &[(TaskName, u32)]) {
         let names: Vec<String> = suspects.iter().map(|(task, _)| task.to_string()).collect();
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -24,6 +24,7 @@
 mod slow_process;
 mod stored_records;
 mod traffic;
+mod waiting_orders;
 
 use std::sync::atomic::Ordering;
 use std::time::Duration;
--- a/wigeongate/tests/entry/platform.rs
+++ b/wigeongate/tests/entry/platform.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -534,6 +534,10 @@
     state: Mutex<ExecutorState>,
     started: Arc<Mutex<Vec<StartedRun>>>,
     link: Mutex<Link>,
+    /// Whether it leaves every second start without an answer and does not carry it out.
+    is_grey: AtomicBool,
+    /// The number of starts while it does.
+    grey_starts: AtomicU64,
     traffic: Arc<Traffic>,
 }
 
@@ -626,6 +630,7 @@
         }
         self.traffic.note_call(fence);
         match path {
+            "/api/run-start" if self.drops_start() => std::future::pending().await,
             "/api/run-start" => self.start(&body),
             "/api/run-stop" => {
                 let mut state = locked(&self.state);
@@ -643,6 +648,14 @@
         }
     }
 
+    fn drops_start(&self) -> bool {
+        self.is_grey.load(Ordering::Relaxed)
+            && self
+                .grey_starts
+                .fetch_add(1, Ordering::Relaxed)
+                .is_multiple_of(2)
+    }
+
     fn start(&self, body: &Value) -> Reply {
         let task = body["task"].as_str().expect("a task").to_owned();
         let run = body["run"].as_u64().expect("a run");
@@ -801,6 +814,8 @@
             state: Mutex::default(),
             started: Arc::clone(&self.started),
             link: Mutex::default(),
+            is_grey: AtomicBool::new(false),
+            grey_starts: AtomicU64::new(0),
             traffic: Arc::clone(&self.store.traffic),
         });
         self.executors.insert(id.to_owned(), executor);
@@ -847,6 +862,23 @@
         self.listen(id, Some(self.addresses[id])).await;
     }
 
+    /// Lets an executor leave every second start without an answer, or ends that.
+    pub fn set_grey(&self, id: &str, is_grey: bool) {
+        self.executors[id].is_grey.store(is_grey, Ordering::Relaxed);
+    }
+
+    /// Returns how many tasks of a job run.
+    pub fn running(&self, job: &str) -> usize {
+        let executors = self.executors.values();
+        let running = executors.map(|executor| {
+            executor.end_due_runs();
+            let state = locked(&executor.state);
+            let keys = state.running.keys();
+            keys.filter(|(task, _)| task.starts_with(job)).count()
+        });
+        running.sum()
+    }
+
     /// Lets an executor announce that it will shut down.
     pub fn drain_executor(&mut self, id: &str) {
         let entry = self.entries.get_mut(id).expect("the executor is known");
