core: let waiting work claim only the room that it can use now

Cause: a step asks for advice only if earlier steps of the pass leave capacity, and each of them took the size of all its waiting tasks off the free capacity of the service, whether it could use that or not.

Change: a step claims the tasks that fit now on the hosts that may run it, by label, zone, isolation, denied advice, places on each host and its team's limit. Steps with the same label, or of the same team, claim no more together than there is. A gang that its hosts could not hold when empty claims nothing.

--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -38,6 +38,7 @@
 mod policies;
 mod reports;
 mod restore;
+mod room_claims;
 mod rules;
 mod run_forecasts;
 mod scheduler;
--- a/wigeongate-core/src/workflow/advice.rs
+++ b/wigeongate-core/src/workflow/advice.rs
@@ -234,7 +234,7 @@
     }
 
     /// Returns how many tasks of the step fit on the host when it is empty.
-    fn max_tasks(host: &Host, need: &Need<'_>) -> u64 {
+    pub(super) fn max_tasks(host: &Host, need: &Need<'_>) -> u64 {
         let tasks = host.entry.capacity.count(&need.size);
         if need.per_host > 0 {
             tasks.min(u64::from(need.per_host))
--- a/wigeongate-core/src/workflow/placement_pass.rs
+++ b/wigeongate-core/src/workflow/placement_pass.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use super::host::{Claim, Host, Stage, Trial};
+use super::host_choice::Need;
 use super::isolation::Caution;
 use super::job::{Phase, Rank, Task};
 use super::message::{Action, StartOrder};
 use super::planned_starts::PlannedStart;
 use super::restore::Record;
+use super::room_claims::{RoomDemand, UnclaimedRoom};
 use super::rules::QueueRules;
 use super::scheduler::WorkflowScheduler;
 use super::spec::{StepId, TaskName};
@@ -44,6 +46,8 @@
     capacities: HashMap<String, FreeCapacity>,
     /// Capacity within each team's limit that earlier steps of the pass wait for.
     held: HashMap<TeamId, Resources>,
+    /// Capacity within each team's limit for which earlier steps of the pass may ask for advice.
+    claimed: HashMap<TeamId, Resources>,
     /// Steps that need an advice call and found no gate that could begin it.
     pub(super) waiting_for_gate: u64,
 }
@@ -54,8 +58,8 @@
     /// The largest free amount of each resource on any one host.
     largest: Resources,
     /// Free capacity on all hosts that are not in isolation, less what earlier steps of the pass
-    /// need.
-    unclaimed: Resources,
+    /// claim.
+    unclaimed: UnclaimedRoom,
     /// Hosts in isolation that are not on trial, less those that earlier steps of the pass use or
     /// ask for; those on which nothing but lasting tasks runs come last.
     isolated: Vec<HostId>,
@@ -170,7 +174,7 @@
             if let Some(capacity) = capacities.get_mut(&host.entry.service) {
                 capacity.largest = capacity.largest.max(&free);
                 if host.isolated <= now {
-                    capacity.unclaimed += free;
+                    capacity.unclaimed.add(free);
                 } else if host.trial.is_none() {
                     capacity.isolated.push(host.entry.id.clone());
                 }
@@ -271,15 +275,84 @@
         capacity.map_or(0, |capacity| capacity.unplaced)
     }
 
-    /// Deducts the capacity that waiting tasks need from the capacity for which later steps of the
-    /// pass may call the advice service; returns whether any was left before.
-    fn claim_capacity(&mut self, service: &str, wanted: Resources) -> bool {
-        let Some(capacity) = self.pass.capacities.get_mut(service) else {
+    /// Claims the capacity that the waiting tasks of a step could use now, for which later steps of the
+    /// pass may not call the advice service; returns whether any was left before.
+    fn claim_room(&mut self, at: StepId, rules: &QueueRules, now: Millis) -> bool {
+        let Some(need) = self.need(at, rules, now) else {
             return false;
         };
-        let any = capacity.unclaimed.cpu > 0 && capacity.unclaimed.memory > 0;
-        capacity.unclaimed = capacity.unclaimed.saturating_sub(&wanted);
-        any
+        let count = self.claimable_tasks(&need);
+        if count == 0 {
+            return false;
+        }
+        let label = need.requires.map(str::to_owned);
+        if let Some(label) = &label {
+            self.read_label_room(&rules.service, label, now);
+        }
+        let team = self.team_limit(at).map(|(team, maximum, _)| {
+            let used = |capacities: &HashMap<TeamId, Resources>| capacities.get(team).copied();
+            let usage = used(&self.usage).unwrap_or_default();
+            let held = used(&self.pass.held).unwrap_or_default();
+            (team.clone(), maximum.saturating_sub(&(usage + held)))
+        });
+        let Some(step) = self.jobs.get(&at.job).and_then(|job| job.step(at)) else {
+            return false;
+        };
+        let demand = RoomDemand {
+            size: step.spec.demand(),
+            count,
+            label: label.as_deref(),
+            team: team.as_ref().map(|(team, left)| (team, *left)),
+        };
+        let Pass {
+            capacities,
+            claimed,
+            ..
+        } = &mut self.pass;
+        let capacity = capacities.get_mut(&rules.service);
+        capacity.is_some_and(|capacity| capacity.unclaimed.claim(&demand, claimed))
+    }
+
+    /// Returns how many waiting tasks could start now if advice allowed each host that it has not
+    /// denied. A gang waits for all of its tasks, unless they do not fit even on empty hosts.
+    fn claimable_tasks(&self, need: &Need<'_>) -> u64 {
+        let wanted = u64::from(need.count);
+        let mut count = 0;
+        for (id, host) in &self.hosts {
+            let is_denied = need.advice.is_some_and(|it| it.denied.contains(id));
+            if is_denied || !self.may_run(host, need, need.now) {
+                continue;
+            }
+            count += if need.gang {
+                Self::max_tasks(host, need)
+            } else {
+                self.fitting_tasks(host, need, need.now)
+            };
+            if count >= wanted {
+                return wanted;
+            }
+        }
+        if need.gang { 0 } else { count }
+    }
+
+    /// Reads the free capacity of the hosts with a label, once in a pass.
+    fn read_label_room(&mut self, service: &str, label: &str, now: Millis) {
+        let capacity = self.pass.capacities.get(service);
+        if capacity.is_none_or(|capacity| capacity.unclaimed.knows_label(label)) {
+            return;
+        }
+        let hosts = self.hosts.values().filter(|host| {
+            host.entry.service == service
+                && host.isolated <= now
+                && host.accepts_work(now)
+                && host.entry.has_label(label)
+        });
+        let free: Resources = hosts
+            .map(|host| host.entry.capacity.saturating_sub(&host.used))
+            .sum();
+        if let Some(capacity) = self.pass.capacities.get_mut(service) {
+            capacity.unclaimed.set_label(label, free);
+        }
     }
 
     fn sort_key(&self, at: StepId, now: Millis) -> Option<SortKey> {
@@ -371,17 +444,14 @@
                 return;
             }
         }
-        let (left, size) = self.step(at).map_or((0, Resources::ZERO), |step| {
-            (step.waiting, step.spec.demand())
-        });
+        let left = self.step(at).map_or(0, |step| step.waiting);
         if left > 0 && caution >= Caution::Isolated {
             self.count_unplaced(&rules.service);
             self.draft(at, &rules.service, caution, now);
         }
         if left > 0
             && let Some(cost) = rules.advice
-            && (caution >= Caution::Isolated
-                || self.claim_capacity(&rules.service, size.times(u64::from(left))))
+            && (caution >= Caution::Isolated || self.claim_room(at, rules, now))
         {
             self.ask_advice(at, rules, cost, now, out);
         }
@@ -426,7 +496,6 @@
         now: Millis,
         out: &mut Vec<Action>,
     ) {
-        let count = self.step(at).map_or(0, |step| step.waiting);
         let hosts = self
             .need(at, rules, now)
             .and_then(|need| self.gang_hosts(&need));
@@ -442,9 +511,7 @@
             self.unreserve(at);
             return;
         }
-        let step = self.step(at);
-        let size = step.map_or(Resources::ZERO, |step| step.spec.demand());
-        self.claim_capacity(&rules.service, size.times(u64::from(count)));
+        self.claim_room(at, rules, now);
         if let Some(cost) = rules.advice {
             self.ask_advice(at, rules, cost, now, out);
         }
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -28,6 +28,7 @@
 mod restored_accounts;
 mod retention;
 mod retrials;
+mod room_claims;
 mod run_times;
 mod shared_isolation;
 mod team_shares;
--- a/wigeongate-core/tests/workflow/withdrawn_starts.rs
+++ b/wigeongate-core/tests/workflow/withdrawn_starts.rs
@@ -73,16 +73,16 @@
     let cases = [
         case("nothing changes", false, |_| {}),
         case("it drains", true, |it| {
-            list(it, |entry| entry.draining = true)
+            list(it, |entry| entry.draining = true);
         }),
         case("it shrinks", true, |it| {
-            list(it, |entry| entry.capacity.cpu = CORE)
+            list(it, |entry| entry.capacity.cpu = CORE);
         }),
         case("it is replaced", true, |it| {
-            list(it, |entry| entry.boot_ms = 9)
+            list(it, |entry| entry.boot_ms = 9);
         }),
         case("it leaves the registry", true, |it| {
-            it.unlist_host(&first(), NOW)
+            it.unlist_host(&first(), NOW);
         }),
         case("a poll fails", true, |it| {
             it.poll_failed(&first(), PollFailure::NoAnswer, NOW, &mut Vec::new());
@@ -93,7 +93,7 @@
             it.configure(Arc::new(rules));
         }),
         case("the views of the store are stale", true, |it| {
-            it.set_stale(true)
+            it.set_stale(true);
         }),
     ];
     let mut failed = Vec::new();
