core, entry: bound what all accepted jobs take of their owner's memory

With enough of them each owner exceeded its memory and ended, and each next one, since it reads them all.

Cause: no bound on the sum. The bounds on steps, tasks and runs apply to one job. With gates of 64 MB, 1,100 of 1,100 waiting jobs of 9 KB were accepted, and a store of 4,000 took 103 MB while it was restored.

Change: an eighth of the smallest gate's memory is for accepted jobs, each counted by its text and steps (job_budget.rs). The owner allots a part to each gate in advance, so that the sum of what the gates accept on older figures stays within the budget; a gate asks for more when its part is used up, and accepts a sixteenth while no owner can be asked. A job over it is refused at once with 503 and Retry-After. A new owner that finds more holds what has begun, then the most urgent and oldest jobs; the others wait in the store, are shown as queued, and are read as others end (deferred_jobs.rs). After a loss of the store's history the jobs are read page by page.

Measured: job_memory in the entry tests fails before (no job refused; 103 MB where 64 are allowed) and passes; job_budget and deferred_jobs are new. held_jobs shows that what jobs count for bounds what they take.

--- a/wigeongate-config/src/entry.rs
+++ b/wigeongate-config/src/entry.rs
@@ -97,6 +97,9 @@
 /// Memory that a gate needs apart from connections, in megabytes.
 const OWN_MEMORY_MB: u64 = 40;
 
+/// The part of the machine's memory that accepted jobs may take: one in this many.
+const JOBS_DIVISOR: u64 = 8;
+
 /// Descriptors for files, listeners and the runtime.
 const FILE_FDS: u64 = 200;
 
@@ -264,6 +267,12 @@
         }
     }
 
+    /// Returns the memory for accepted jobs, in bytes: an eighth of the machine's. What is read while a
+    /// new owner restores them, and what has started, takes as much again.
+    pub fn job_bytes(&self) -> u64 {
+        (self.machine_mb() << 20) / JOBS_DIVISOR
+    }
+
     /// Returns the number of descriptors that the gate may open.
     pub fn descriptors(&self) -> u64 {
         match self.max_fds {
--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -11,6 +11,7 @@
 mod begun;
 mod crash;
 mod crash_proofs;
+mod deferred_jobs;
 mod ended_jobs;
 mod evidence;
 mod freshness;
@@ -22,6 +23,7 @@
 mod intake;
 mod isolation;
 mod job;
+mod job_budget;
 mod job_counts;
 mod job_ends;
 mod kept_records;
@@ -56,10 +58,12 @@
 pub use archive::{Archive, JobEnd, Move, Transfer};
 pub use crash::Crash;
 pub use crash_proofs::{CrashProof, Fate, HostBoot};
+pub use deferred_jobs::{DeferredJob, DeferredJobs, DeferredRank, JobSelection};
 pub use ended_jobs::EndedJobs;
 pub use evidence::Evidence;
 pub use freshness::StoreContact;
 pub use intake::{Intake, StoredJob, Submission};
+pub use job_budget::{JobBudget, Reservation, RoomRequest, RoomShare, job_bytes};
 pub use load::{
     FreeHosts, HORIZONS_MS, Lane, QueueLoad, ServiceLoad, WHOLE, WorkOrigin, capacity_share,
     job_work, step_work,
--- a/wigeongate-core/src/workflow/intake.rs
+++ b/wigeongate-core/src/workflow/intake.rs
@@ -5,8 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::deferred_jobs::DeferredJobs;
 use super::scheduler::WorkflowScheduler;
-use super::spec::Workflow;
+use super::spec::{Workflow, WorkflowId};
 use crate::time::Millis;
 
 /// An accepted job and the revision at which the store holds it.
@@ -32,19 +33,44 @@
 /// The jobs of the store that have been added to the scheduler.
 #[derive(Debug, Default)]
 pub struct Intake {
-    /// Every job that was stored up to this revision has been added.
+    /// Every job that was stored up to this revision has been added, or is deferred.
     complete: u64,
+    deferred: DeferredJobs,
 }
 
 impl Intake {
     /// Creates the state of an owner that has added every job up to a revision.
-    pub const fn new(complete: u64) -> Self {
-        Self { complete }
+    pub fn new(complete: u64) -> Self {
+        Self {
+            complete,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the jobs that are not added since there is no memory for them.
+    pub fn defer(&mut self, jobs: DeferredJobs) {
+        self.deferred = jobs;
+    }
+
+    /// Returns the jobs that are not added since there is no memory for them.
+    pub const fn deferred(&self) -> &DeferredJobs {
+        &self.deferred
     }
 
-    /// Adds a job unless it is known or was removed; `age` is the time since its acceptance.
+    /// Returns the jobs that are not added since there is no memory for them, to read some.
+    pub const fn deferred_mut(&mut self) -> &mut DeferredJobs {
+        &mut self.deferred
+    }
+
+    /// Returns whether a job is deferred.
+    pub fn is_deferred(&self, id: WorkflowId) -> bool {
+        self.deferred.contains(id)
+    }
+
+    /// Adds a job unless it is known or was removed, also a deferred one; `age` is the time since its
+    /// acceptance.
     pub fn add(
-        &self,
+        &mut self,
         scheduler: &mut WorkflowScheduler,
         job: StoredJob,
         now: Millis,
@@ -53,6 +79,10 @@
         if scheduler.status(job.flow.id).is_some() {
             return Submission::Known;
         }
+        if self.deferred.remove(job.flow.id) {
+            scheduler.submit_inherited(job.flow, now, age);
+            return Submission::Added;
+        }
         if job.revision <= self.complete {
             return Submission::Removed;
         }
--- a/wigeongate-core/src/workflow/job_ends.rs
+++ b/wigeongate-core/src/workflow/job_ends.rs
@@ -4,6 +4,7 @@
 use super::ended_jobs::EndedJobs;
 use super::host::Host;
 use super::job::WorkflowStatus;
+use super::job_budget::job_bytes;
 use super::log_checkpoint::JobFate;
 use super::message::Action;
 use super::restore::Record;
@@ -26,6 +27,7 @@
         };
         if job.end.is_none() {
             self.counts.end(job);
+            self.held_bytes = self.held_bytes.saturating_sub(job_bytes(&job.flow));
         }
         job.end = Some(status);
         job.end_record = number;
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -7,6 +7,7 @@
 use super::evidence::Evidence;
 use super::host::{Host, HostEntry};
 use super::job::{Job, Phase, WorkflowStatus};
+use super::job_budget::job_bytes;
 use super::job_counts::JobCounts;
 use super::message::Action;
 use super::scheduler::WorkflowScheduler;
@@ -163,6 +164,9 @@
         };
         match record {
             Record::Ended(_, status) => {
+                if job.end.is_none() {
+                    self.held_bytes = self.held_bytes.saturating_sub(job_bytes(&job.flow));
+                }
                 job.end = Some(*status);
                 job.end_record = 0;
                 job.ended = now;
--- a/wigeongate-core/src/workflow/scheduler.rs
+++ b/wigeongate-core/src/workflow/scheduler.rs
@@ -12,6 +12,7 @@
 use super::host::{Claim, Host, HostEntry, Stage};
 use super::isolation::Isolation;
 use super::job::{Job, Phase, Step, WorkflowStatus};
+use super::job_budget::job_bytes;
 use super::job_counts::JobCounts;
 use super::message::{Action, Proof, StopOrder};
 use super::orphan_runs::OrphanRuns;
@@ -86,6 +87,8 @@
     pub(super) jobs: HashMap<WorkflowId, Job>,
     /// Counts of the open jobs; valid once the restore is finished.
     pub(super) counts: JobCounts,
+    /// A bound on the bytes that the open jobs take, without what has started. Ended ones leave soon.
+    pub(super) held_bytes: u64,
     /// Archived jobs.
     pub(super) ended_jobs: EndedJobs,
     /// Jobs that have ended since the archive asked, with the times of their ends.
@@ -272,6 +275,15 @@
         true
     }
 
+    /// Adds a job that an earlier owner may have tried to start.
+    pub(super) fn submit_inherited(&mut self, flow: Workflow, now: Millis, age: Millis) {
+        let id = flow.id;
+        self.submit(flow, now, age);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.inherited = true;
+        }
+    }
+
     /// Adds a job of which no step may start yet; returns whether it is new.
     pub(super) fn insert_job(&mut self, mut flow: Workflow, now: Millis, age: Millis) -> bool {
         let id = flow.id;
@@ -289,6 +301,7 @@
             ..Job::new(flow, &rules, now, age)
         };
         self.apply_forecasts(&mut job);
+        self.held_bytes += job_bytes(&job.flow);
         self.jobs.insert(id, job);
         true
     }
@@ -323,6 +336,11 @@
         ]
     }
 
+    /// Returns a bound on the bytes that the open jobs take, without what has started.
+    pub const fn held_bytes(&self) -> u64 {
+        self.held_bytes
+    }
+
     /// Returns the number of jobs that have not ended.
     pub const fn open_jobs(&self) -> usize {
         self.counts.open()
@@ -369,6 +387,11 @@
         self.rules.queues.get(&flow.queue).unwrap_or(&flow.rules)
     }
 
+    /// Returns the priority of a job's queue; zero is the most urgent.
+    pub fn priority(&self, flow: &Workflow) -> u32 {
+        self.rules_of(flow).priority
+    }
+
     /// Handles everything that is due by time alone; `wall_ms` is the wall clock in milliseconds
     /// since 1970.
     pub fn tick(&mut self, now: Millis, wall_ms: u64, out: &mut Vec<Action>) {
--- a/wigeongate-core/tests/workflow/main.rs
+++ b/wigeongate-core/tests/workflow/main.rs
@@ -8,6 +8,7 @@
 mod costs_of_the_past;
 mod crashes;
 mod cut_hosts;
+mod deferred_jobs;
 mod freshness;
 mod gang_rounds;
 mod group_losses;
--- a/wigeongate/src/entry/callers.rs
+++ b/wigeongate/src/entry/callers.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface for callers: submits, shows and cancels jobs.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -25,6 +26,7 @@
 use super::peers::{PeerAnswer, PeerCall, call_owner};
 use super::ready::empty_reply;
 use super::records::{CANCELLED, ended_key, is_cancelled, job_key};
+use super::room::{NoRoom, ReservedRoom};
 use super::shared::Shared;
 use super::stored_job::{self, FoundJob};
 use crate::clock::wall_ms;
@@ -46,6 +48,10 @@
 /// The `Retry-After` value for a caller that was not served, in seconds.
 const RETRY_AFTER_S: &str = "1";
 
+/// The `Retry-After` values for a caller whose job would exceed the memory for accepted jobs, in
+/// seconds.
+const FULL_RETRY_S: RangeInclusive<u64> = 2..=10;
+
 /// The HTTP handler for callers.
 #[derive(Debug, Clone)]
 pub struct CallerApi {
@@ -211,6 +217,22 @@
         {
             return reply;
         }
+        let mut room = match ReservedRoom::reserve(&self.shared, &flow).await {
+            Ok(room) => room,
+            Err(NoRoom::TooLarge(bytes, most)) => {
+                info!(job = %id, bytes, most, "callers: job refused; no gate could hold it.");
+                return bad_request(&format!(
+                    "the job takes {bytes} bytes of memory; at most {most} are allowed"
+                ));
+            }
+            Err(NoRoom::Full) => {
+                let refuse = || self.refuse_full(&flow);
+                return match self.refuse_unless_stored(&flow, refuse).await {
+                    Some(reply) => reply,
+                    None => retry_later(StatusCode::SERVICE_UNAVAILABLE),
+                };
+            }
+        };
         let mut admitted = None;
         if let Some(admission) = &self.admission {
             let decision = admission.decide(&flow);
@@ -226,7 +248,8 @@
                 if let Some(admitted) = &mut admitted {
                     admitted.mark_stored();
                 }
-                self.notify_owner(StoredJob { flow, revision }, admitted);
+                room.mark_stored();
+                self.notify_owner(StoredJob { flow, revision }, admitted, room);
                 empty_reply(StatusCode::OK)
             }
             AcceptOutcome::Duplicate => empty_reply(StatusCode::OK),
@@ -260,6 +283,17 @@
         retry_later(StatusCode::SERVICE_UNAVAILABLE)
     }
 
+    /// Refuses a job for which the owner has no memory left. Callers come back at different times, as
+    /// jobs end.
+    fn refuse_full(&self, flow: &Workflow) -> Reply {
+        let label = format!("{} memory", flow.queue);
+        self.shared.metrics.count("refusals", &label);
+        let seconds = rand::random_range(FULL_RETRY_S);
+        info!(job = %flow.id, queue = %flow.queue, retry_after_s = seconds,
+            "callers: job refused; the accepted jobs take all memory for jobs.");
+        refused(RefusalReason::Overload, seconds)
+    }
+
     /// Refuses a job if it is not stored; `None` if that cannot be looked up and it takes the normal path.
     ///
     /// An earlier attempt may have stored it without an answer that reached the caller.
@@ -290,12 +324,16 @@
 
     /// Submits a stored job to the owner, without retries: if the call fails, the owner finds the
     /// job in the store within a second. Until then the job counts as admitted.
-    fn notify_owner(&self, job: StoredJob, admitted: Option<Admitted>) {
+    fn notify_owner(&self, job: StoredJob, admitted: Option<Admitted>, mut room: ReservedRoom) {
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
             let id = job.flow.id;
-            let result = call_owner(&shared, PeerCall::Submit(Box::new(job))).await;
+            let gate = Some(shared.settings.gate.clone());
+            let result = call_owner(&shared, PeerCall::Submit(Box::new(job), gate)).await;
             drop(admitted);
+            if matches!(result, Ok(PeerAnswer::Done | PeerAnswer::Removed)) {
+                room.mark_held();
+            }
             if !matches!(result, Ok(PeerAnswer::Done)) {
                 info!(job = %id, ?result,
                     "callers: submitting the job to the owner failed; the owner finds it in the store.");
@@ -352,7 +390,7 @@
             Some(FoundJob::Ended(status)) => return Ok(Standing::Ended(status)),
             None => return Ok(Standing::Missing),
         };
-        match self.call_owner_retrying(PeerCall::Submit(job)).await {
+        match self.call_owner_retrying(PeerCall::Submit(job, None)).await {
             Some(PeerAnswer::Done) => Ok(Standing::Open),
             // It was archived after it was read, or the owner cannot decode it.
             Some(PeerAnswer::Removed) => Ok(match stored_job::read(store, id).await? {
--- a/wigeongate/src/entry/job_watch.rs
+++ b/wigeongate/src/entry/job_watch.rs
@@ -25,25 +25,64 @@
 ) {
     while !events.is_closed() {
         tokio::time::sleep(Duration::from_millis(POLL_INTERVAL_MS)).await;
-        let (items, revision) = match read_changes(&shared, after).await {
-            Ok(found) => found,
+        let sent = match send_changes(&shared, &events, after).await {
+            Err(StoreError::Compacted(_)) => send_all(&shared, &events, after).await,
+            sent => sent,
+        };
+        match sent {
+            Ok(Some(revision)) => after = revision.max(after),
+            Ok(None) => info!(
+                after,
+                "owner: the lease is not renewed yet; the jobs found are sent again."
+            ),
             Err(error) => {
                 warn!(%error, "owner: polling for accepted jobs failed; trying again.");
-                continue;
             }
-        };
-        if revision <= after {
-            continue;
         }
-        let jobs = decode_jobs(&items).await;
-        let found = jobs.len();
-        if send_jobs(&events, jobs, after, revision).await {
-            after = revision;
-        } else {
-            info!(
-                found,
-                revision, "owner: the lease is not renewed yet; the jobs found are sent again."
-            );
+    }
+}
+
+/// Sends the jobs that were stored after a revision; returns the revision up to which they are complete,
+/// `None` if the owner has not added them.
+async fn send_changes(
+    shared: &Shared,
+    events: &mpsc::UnboundedSender<OwnerEvent>,
+    after: u64,
+) -> Result<Option<u64>, StoreError> {
+    let (changes, revision) = shared.store.watch(JOBS_PREFIX, after, 0).await?;
+    if revision <= after {
+        return Ok(Some(after));
+    }
+    let items = changes.into_iter().filter_map(|change| match change {
+        Change::Put(item) => Some(item),
+        Change::Removed(_) => None,
+    });
+    let jobs = decode_jobs(&items.collect::<Vec<_>>()).await;
+    let is_added = send_jobs(events, jobs, after, revision).await;
+    Ok(is_added.then_some(revision))
+}
+
+/// Does the same with all stored jobs, since the store no longer has the changes. They may be more than
+/// the gate can hold, so that each page is sent before the next one is read.
+async fn send_all(
+    shared: &Shared,
+    events: &mpsc::UnboundedSender<OwnerEvent>,
+    after: u64,
+) -> Result<Option<u64>, StoreError> {
+    let (mut key, mut first) = (String::new(), None);
+    loop {
+        let page = shared.store.range_page(JOBS_PREFIX, &key).await?;
+        let revision = *first.get_or_insert(page.revision);
+        let last = page.items.last().filter(|_| page.has_more);
+        let next = last.map(|last| last.key.clone());
+        let jobs = decode_jobs(&page.items).await;
+        let complete = if next.is_some() { after } else { revision };
+        if !send_jobs(events, jobs, after, complete).await {
+            return Ok(None);
+        }
+        match next {
+            Some(next) => key = next,
+            None => return Ok(Some(revision)),
         }
     }
 }
@@ -72,22 +111,6 @@
     }
 }
 
-/// Returns the jobs that were stored after a revision, or all if the store no longer has the
-/// changes, with the revision up to which they are complete.
-async fn read_changes(shared: &Shared, after: u64) -> Result<(Vec<Item>, u64), StoreError> {
-    match shared.store.watch(JOBS_PREFIX, after, 0).await {
-        Ok((changes, revision)) => {
-            let items = changes.into_iter().filter_map(|change| match change {
-                Change::Put(item) => Some(item),
-                Change::Removed(_) => None,
-            });
-            Ok((items.collect(), revision))
-        }
-        Err(StoreError::Compacted(_)) => shared.store.range(JOBS_PREFIX).await,
-        Err(error) => Err(error),
-    }
-}
-
 /// Decodes jobs; one that cannot be decoded is skipped.
 pub async fn decode_jobs(items: &[Item]) -> Vec<StoredJob> {
     let mut turns = Turns::default();
--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -11,17 +11,19 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info};
 use wigeongate_core::collections::{HashMap, HashSet};
-use wigeongate_core::ids::HostId;
+use wigeongate_core::ids::{GateId, HostId};
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostEntry, Intake, Record, StartOrder, StoredJob, Submission, TaskName,
-    WorkflowScheduler, WorkflowSettings,
+    Action, AdviceGates, HostEntry, Intake, JobBudget, Record, RoomRequest, StartOrder, StoredJob,
+    Submission, TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings, WorkflowStatus,
+    job_bytes,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::archive::Archiver;
 use super::callers::job_age;
 use super::checkpoint::SchedulerView;
+use super::deferred;
 use super::forecasts::Forecasts;
 use super::hosts::HostLink;
 use super::job_watch;
@@ -38,6 +40,7 @@
 use super::shared::Shared;
 use super::speeds;
 use super::stored_head::StoredHead;
+use super::stored_job::FoundJob;
 use super::turns::Turns;
 use super::waits::WaitReport;
 use crate::clock::wall_ms;
@@ -78,6 +81,8 @@
     /// Cancellations by the number of their record; each is answered when the record is written.
     pending_cancels: Vec<(u64, oneshot::Sender<PeerAnswer>)>,
     intake: Intake,
+    /// What each gate may accept of this gate's memory.
+    budget: JobBudget,
     /// When the read was sent that confirmed the list of executors.
     registry_read: Millis,
     /// Whether that list or the configuration is too old for starts.
@@ -141,6 +146,7 @@
             archiver,
             pending_cancels: Vec::new(),
             intake: Intake::default(),
+            budget: JobBudget::default(),
             registry_read: Millis::ZERO,
             is_stale: true,
             fenced: false,
@@ -205,6 +211,8 @@
                     metrics.set_gauge("jobs_open", u64::try_from(open).unwrap_or(u64::MAX));
                     metrics.set_gauge("steps_ready", u64::try_from(ready).unwrap_or(u64::MAX));
                     metrics.set_gauge("steps_due", u64::try_from(due).unwrap_or(u64::MAX));
+                    self.renew_room();
+                    self.read_deferred();
                     self.scheduler.tick(self.shared.now(), wall_ms(), &mut actions);
                     self.waits.tick(&self.scheduler, &self.shared);
                     self.share_report.tick(&self.scheduler, &self.shared);
@@ -290,6 +298,58 @@
         self.shared.now().since(self.registry_read)
     }
 
+    /// Allots a gate its part of the memory for accepted jobs, or more if it wants that.
+    fn allot_room(&mut self, gate: &GateId, request: &RoomRequest) -> u64 {
+        let held = self.scheduler.held_bytes() + self.intake.deferred().bytes();
+        self.budget.allot(gate, request, held, self.shared.now())
+    }
+
+    /// Allots this gate its part of the memory for accepted jobs, and reports the budget.
+    fn renew_room(&mut self) {
+        let shared = Arc::clone(&self.shared);
+        let request = shared.room().request(0);
+        let room = self.allot_room(&shared.settings.gate, &request);
+        shared.room().install(room);
+        let metrics = &shared.metrics;
+        metrics.set_gauge("job_bytes", self.scheduler.held_bytes());
+        metrics.set_gauge("job_bytes_budget", self.budget.bytes());
+        let deferred = self.intake.deferred().len();
+        metrics.set_gauge("jobs_deferred", u64::try_from(deferred).unwrap_or(u64::MAX));
+    }
+
+    /// Reads deferred jobs from the store as far as there is memory for them.
+    fn read_deferred(&mut self) {
+        if !self.lease_current.load(Ordering::Relaxed) {
+            return;
+        }
+        let held = self.scheduler.held_bytes();
+        let left = self.shared.settings.job_bytes().saturating_sub(held);
+        let is_idle = self.scheduler.open_jobs() == 0;
+        for id in self.intake.deferred_mut().begin_reads(left, is_idle) {
+            deferred::read(&self.shared, &self.events, id);
+        }
+    }
+
+    /// Adds a deferred job that was read.
+    fn add_deferred(&mut self, id: WorkflowId, found: Result<Option<FoundJob>>) {
+        match found {
+            Ok(Some(FoundJob::Accepted(job))) if self.lease_current.load(Ordering::Relaxed) => {
+                self.add_job(*job);
+            }
+            Ok(Some(FoundJob::Accepted(_))) => self.intake.deferred_mut().fail_read(id),
+            Ok(Some(FoundJob::Ended(_)) | None) => {
+                self.intake.deferred_mut().remove(id);
+            }
+            Err(error) => {
+                info!(job = %id, error = format!("{error:#}"),
+                    "owner: a deferred job cannot be read; trying again.");
+                self.intake.deferred_mut().fail_read(id);
+                return;
+            }
+        }
+        self.read_deferred();
+    }
+
     /// Applies the configuration of this gate to the scheduler.
     fn configure(&mut self) {
         if let Some(manifest) = (**self.shared.manifest.load()).clone() {
@@ -307,7 +367,9 @@
         };
         let restored = restore.run().await?;
         let batches = restored.batches.len();
+        let deferred = restored.deferred.len();
         self.intake = Intake::new(restored.revision);
+        self.intake.defer(restored.deferred);
         let mut turns = Turns::default();
         self.progress
             .begin(RestoreStep::NoteBatches, self.shared.now());
@@ -352,6 +414,7 @@
             epoch = self.epoch,
             jobs = restored.jobs,
             open = self.scheduler.open_jobs(),
+            deferred,
             batches,
             took_ms,
             steps = %self.progress,
@@ -417,14 +480,18 @@
             OwnerEvent::JobsFound(jobs, revision, answer) => {
                 let is_current = self.lease_current.load(Ordering::Relaxed);
                 if is_current {
+                    // All jobs of the store were read if it has lost its changes.
                     for job in jobs {
-                        self.add_job(job);
+                        if !self.intake.is_deferred(job.flow.id) {
+                            self.add_job(job);
+                        }
                     }
                     self.intake.complete(revision);
                 }
                 // Fails only when the task that found the jobs has ended.
                 let _ = answer.send(is_current);
             }
+            OwnerEvent::DeferredRead(id, found) => self.add_deferred(id, found),
             OwnerEvent::ArchiveAnswered(is_confirmed) => {
                 let moved = self.archiver.finish(&mut self.scheduler, is_confirmed);
                 self.log.forget_jobs(&moved);
@@ -477,18 +544,29 @@
             return;
         }
         let reply = match call {
-            PeerCall::Hello(gate, address) => {
+            PeerCall::Hello(gate, address, request) => {
+                let room = self.allot_room(&gate, &request);
                 let gates = self.scheduler.advice_gates_mut();
                 gates.record_greeting(gate, address, now);
-                PeerAnswer::Done
+                PeerAnswer::Room(room)
             }
-            PeerCall::Submit(job) if self.lease_current.load(Ordering::Relaxed) => {
+            PeerCall::Reserve(gate, request) => PeerAnswer::Room(self.allot_room(&gate, &request)),
+            PeerCall::Submit(job, gate) if self.lease_current.load(Ordering::Relaxed) => {
+                if let Some(gate) = gate {
+                    self.budget.hold(&gate, job_bytes(&job.flow));
+                }
                 self.add_job(*job)
             }
-            PeerCall::Submit(_) => PeerAnswer::NotOwner,
-            PeerCall::State(id) => PeerAnswer::State(self.scheduler.status(id)),
+            PeerCall::Submit(..) => PeerAnswer::NotOwner,
+            PeerCall::State(id) => {
+                let is_deferred = || self.intake.is_deferred(id);
+                let held = self.scheduler.status(id);
+                PeerAnswer::State(held.or_else(|| is_deferred().then_some(WorkflowStatus::Queued)))
+            }
             PeerCall::Pending(queue) => {
-                PeerAnswer::Pending(u64::try_from(self.scheduler.queued_jobs(&queue)).unwrap_or(0))
+                let deferred = self.intake.deferred().queued(&queue);
+                let queued = self.scheduler.queued_jobs(&queue) + deferred;
+                PeerAnswer::Pending(u64::try_from(queued).unwrap_or(u64::MAX))
             }
             // Without the hosts' answers or the right to order starts, the forecast would be wrong.
             PeerCall::Outlook(gate, offered)
--- a/wigeongate/src/entry/owner_event.rs
+++ b/wigeongate/src/entry/owner_event.rs
@@ -1,16 +1,18 @@
 //! The events that the owner handles, and the handle through which other parts of the gate send them.
 
+use eyre::Result;
 use tokio::sync::{mpsc, oneshot};
 use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Advice, HostEntry, HostReport, PollFailure, StartResult, StoredJob, TaskName,
+    Advice, HostEntry, HostReport, PollFailure, StartResult, StoredJob, TaskName, WorkflowId,
 };
 
 use super::advice::AdviceCall;
 use super::archive::EndedJob;
 use super::checkpoint::CheckpointEvent;
 use super::peers::{PeerAnswer, PeerCall};
+use super::stored_job::FoundJob;
 
 /// An event that the owner handles.
 #[derive(Debug)]
@@ -38,6 +40,8 @@
     /// Accepted jobs were found in the store, complete up to a revision. The answer tells whether
     /// they were added; if not, they have to be sent again.
     JobsFound(Vec<StoredJob>, u64, oneshot::Sender<bool>),
+    /// A deferred job was read from the store, or could not be read.
+    DeferredRead(WorkflowId, Result<Option<FoundJob>>),
     /// The transaction that archives jobs has ended; whether the store has confirmed it.
     ArchiveAnswered(bool),
     /// The next transaction that archives jobs may begin.
--- a/wigeongate/src/entry/peers.rs
+++ b/wigeongate/src/entry/peers.rs
@@ -12,7 +12,9 @@
 use tracing::{debug, warn};
 use wigeongate_core::ids::{GateId, HostId, QueueId};
 use wigeongate_core::outlook::{OfferedLoad, Outlook};
-use wigeongate_core::workflow::{StepId, StoredJob, WorkflowId, WorkflowStatus, greeting_delay};
+use wigeongate_core::workflow::{
+    RoomRequest, StepId, StoredJob, WorkflowId, WorkflowStatus, greeting_delay,
+};
 use wigeongate_platform::http::{Call, CallError};
 
 use super::advice::AdviceClient;
@@ -34,10 +36,11 @@
 /// A call of one gate to another.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerCall {
-    /// Registers a gate with the owner, by its name and address.
-    Hello(GateId, String),
-    /// Submits an accepted job.
-    Submit(Box<StoredJob>),
+    /// Registers a gate with the owner, by its name and address, and asks for memory for the jobs that
+    /// it accepts.
+    Hello(GateId, String, RoomRequest),
+    /// Submits an accepted job; names the gate that has just accepted it.
+    Submit(Box<StoredJob>, Option<GateId>),
     /// Returns the state of a job.
     State(WorkflowId),
     /// Cancels a job.
@@ -52,6 +55,8 @@
     Advise(StepId, Vec<HostId>, u64),
     /// Asks for the outlook of the named gate, which was offered this load since its last call.
     Outlook(GateId, OfferedLoad),
+    /// Asks for more memory for the jobs that the named gate accepts.
+    Reserve(GateId, RoomRequest),
 }
 
 /// An answer to a call of another gate.
@@ -76,6 +81,8 @@
     Removed,
     /// The outlook of the gate that asked.
     Outlook(Box<Outlook>),
+    /// The bytes of accepted jobs that the gate which asked may add.
+    Room(u64),
 }
 
 /// Calls the gate at `address`; `extra_ms` is added to the timeout, in milliseconds.
@@ -185,9 +192,14 @@
             continue;
         }
         let settings = &shared.settings;
-        let hello = PeerCall::Hello(settings.gate.clone(), settings.peer.to_string());
+        let request = shared.room().request(0);
+        let hello = PeerCall::Hello(settings.gate.clone(), settings.peer.to_string(), request);
         let answer = call_owner(&shared, hello).await;
-        greeted = matches!(answer, Ok(PeerAnswer::Done));
+        greeted = matches!(answer, Ok(PeerAnswer::Room(_)));
+        match answer {
+            Ok(PeerAnswer::Room(bytes)) => shared.room().install(bytes),
+            _ => shared.room().fail_request(),
+        }
         if let Err(error) = answer {
             debug!(
                 error = format!("{error:#}"),
--- a/wigeongate/src/entry/restore.rs
+++ b/wigeongate/src/entry/restore.rs
@@ -8,7 +8,9 @@
 use tokio::time::sleep;
 use tracing::{info, warn};
 use wigeongate_core::time::Millis;
-use wigeongate_core::workflow::{Action, CheckpointPart, Record, StoredJob, WorkflowScheduler};
+use wigeongate_core::workflow::{
+    Action, CheckpointPart, DeferredJobs, JobSelection, Record, StoredJob, WorkflowScheduler,
+};
 use wigeongate_platform::store::{Item, Page, StoreError};
 
 use super::callers::job_age;
@@ -67,12 +69,16 @@
     pub is_readable: bool,
     /// What the scheduler has decided on.
     pub actions: Vec<Action>,
+    /// The jobs for which there is no memory.
+    pub deferred: DeferredJobs,
 }
 
 /// What earlier owners have left in the store, as read.
 #[derive(Debug)]
 struct StoredItems {
     jobs: Vec<Item>,
+    /// The key after which further jobs follow; `None` if all were read.
+    more_jobs: Option<String>,
     /// The revision up to which the jobs are complete.
     revision: u64,
     head: StoredHead,
@@ -80,6 +86,16 @@
     batches: Vec<Item>,
 }
 
+/// Keys with a prefix.
+#[derive(Debug)]
+struct ReadItems {
+    items: Vec<Item>,
+    /// The key after which others follow; `None` if all were read.
+    more_after: Option<String>,
+    /// The revision of the first page.
+    revision: u64,
+}
+
 /// What earlier owners have left in the store.
 #[derive(Debug)]
 struct StoredState {
@@ -91,6 +107,10 @@
     batches: Vec<StoredBatch>,
     /// Whether everything could be decoded.
     is_readable: bool,
+    /// The number of stored jobs.
+    job_count: usize,
+    /// The jobs for which there is no memory.
+    deferred: DeferredJobs,
 }
 
 impl Restore<'_> {
@@ -100,10 +120,9 @@
     /// Fails if the store cannot be read; the error names the step.
     pub async fn run(mut self) -> Result<Restored> {
         let items = self.read().await?;
-        let (revision, jobs) = (items.revision, items.jobs.len());
-        let mut state = self.decode(&items).await;
-        let head = items.head.clone();
-        drop(items);
+        let (revision, head) = (items.revision, items.head.clone());
+        let mut state = self.decode(items).await?;
+        let jobs = state.job_count;
         let now = self.shared.now();
         self.scheduler.tick(now, wall_ms(), &mut Vec::new());
         self.restore_jobs(std::mem::take(&mut state.jobs), now)
@@ -118,6 +137,7 @@
             batches: state.batches,
             is_readable: state.is_readable,
             actions,
+            deferred: state.deferred,
         })
     }
 
@@ -141,26 +161,29 @@
         self.begin(RestoreStep::ReadHead);
         let head = self.read_head().await?;
         self.end(RestoreStep::ReadHead, StepSize::default());
-        let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX, "");
+        // Without the log it is not known which jobs have begun and must be held.
+        let most = usize::try_from(self.shared.settings.job_bytes()).unwrap_or(usize::MAX);
+        let jobs = self.read_prefix(RestoreStep::ReadJobs, JOBS_PREFIX, "", most);
         let parts = self.read_parts(head.head());
-        let batches = self.read_prefix(RestoreStep::ReadLog, LOG_PREFIX, head.covered());
-        let ((jobs, revision), parts, (batches, _)) =
-            if self.shared.settings.processors() < MIN_PARALLEL_CORES {
-                (jobs.await?, parts.await?, batches.await?)
-            } else {
-                tokio::try_join!(jobs, parts, batches)?
-            };
+        let covered = head.covered();
+        let batches = self.read_prefix(RestoreStep::ReadLog, LOG_PREFIX, covered, usize::MAX);
+        let (jobs, parts, batches) = if self.shared.settings.processors() < MIN_PARALLEL_CORES {
+            (jobs.await?, parts.await?, batches.await?)
+        } else {
+            tokio::try_join!(jobs, parts, batches)?
+        };
         if let Some(run_times) = run_times {
             self.scheduler
                 .set_run_times(run_times.await.unwrap_or_default());
             self.end(RestoreStep::ReadRunTimes, StepSize::default());
         }
         Ok(StoredItems {
-            jobs,
-            revision,
+            jobs: jobs.items,
+            more_jobs: jobs.more_after,
+            revision: jobs.revision,
             head,
             parts,
-            batches,
+            batches: batches.items,
         })
     }
 
@@ -198,22 +221,23 @@
             return Ok(Vec::new());
         };
         let prefix = parts_prefix(head.epoch, head.number);
-        let read = self.read_prefix(RestoreStep::ReadCheckpoint, &prefix, "");
-        Ok(read.await?.0)
+        let read = self.read_prefix(RestoreStep::ReadCheckpoint, &prefix, "", usize::MAX);
+        Ok(read.await?.items)
     }
 
-    /// Reads the keys with a prefix that follow `after` as one step; returns them with the revision of
-    /// the first page.
+    /// Reads the keys with a prefix that follow `after` as one step, until the values take more than
+    /// `most` bytes.
     async fn read_prefix(
         &self,
         step: RestoreStep,
         prefix: &str,
         after: &str,
-    ) -> Result<(Vec<Item>, u64)> {
+        most: usize,
+    ) -> Result<ReadItems> {
         self.begin(step);
-        let (mut pages, mut items) = (0, Vec::new());
+        let (mut pages, mut items, mut bytes) = (0, Vec::new(), 0);
         let (mut first, mut after) = (None, after.to_owned());
-        loop {
+        let more_after = loop {
             let page = self.read_page(prefix, &after).await;
             if page.is_err() {
                 self.progress.fail(step);
@@ -229,25 +253,26 @@
             };
             self.progress.add(step, size);
             first.get_or_insert(page.revision);
+            bytes += page.items.iter().map(|it| it.value.len()).sum::<usize>();
             items.extend(page.items);
             match items.last() {
+                Some(last) if page.has_more && bytes > most => break Some(last.key.clone()),
                 Some(last) if page.has_more => after.clone_from(&last.key),
-                _ => break,
+                _ => break None,
             }
-        }
+        };
         self.end(step, StepSize::default());
-        Ok((items, first.unwrap_or_default()))
+        Ok(ReadItems {
+            items,
+            more_after,
+            revision: first.unwrap_or_default(),
+        })
     }
 
-    /// Decodes what was read; what cannot be decoded is skipped.
-    async fn decode(&self, items: &StoredItems) -> StoredState {
+    /// Decodes what was read, and reads the other jobs; what cannot be decoded is skipped.
+    async fn decode(&self, items: StoredItems) -> Result<StoredState> {
         self.begin(RestoreStep::Decode);
-        let mut jobs = job_watch::decode_jobs(&items.jobs).await;
-        let stored = items.jobs.iter().filter(|item| !is_cancelled(item));
-        let mut is_readable = jobs.len() == stored.count();
-        // Jobs count against a team's limits in the order in which they were accepted.
-        jobs.sort_by_key(|job| job.flow.accepted);
-        is_readable &= items.head != StoredHead::Unreadable;
+        let mut is_readable = items.head != StoredHead::Unreadable;
         let mut turns = Turns::default();
         let mut parts = Vec::with_capacity(items.parts.len());
         for key in items.head.part_keys() {
@@ -276,14 +301,68 @@
                 }
             }
         }
-        let size = StepSize::items(items.jobs.len() + items.parts.len() + items.batches.len());
-        self.end(RestoreStep::Decode, size);
-        StoredState {
+        let logged = items.parts.len() + items.batches.len();
+        let mut selection = JobSelection::new(self.shared.settings.job_bytes());
+        let of_parts = parts.iter().flat_map(|(_, part)| &part.batches);
+        let records = of_parts.chain(batches.iter().map(|(_, records)| records));
+        for records in records {
+            turns.count(records.len()).await;
+            for record in records {
+                selection.add_record(record);
+            }
+        }
+        let mut job_count = items.jobs.len();
+        is_readable &= self.select_jobs(&mut selection, items.jobs).await;
+        let mut more_after = items.more_jobs;
+        while let Some(after) = more_after.take() {
+            let page = self.read_page(JOBS_PREFIX, &after).await;
+            if page.is_err() {
+                self.progress.fail(RestoreStep::ReadJobs);
+            }
+            let page = page.wrap_err_with(|| format!("read jobs, after {job_count} items"))?;
+            let size = StepSize {
+                items: page.items.len(),
+                bytes: page.bytes,
+                pages: 1,
+            };
+            self.progress.add(RestoreStep::ReadJobs, size);
+            job_count += page.items.len();
+            let last = page.items.last().filter(|_| page.has_more);
+            more_after = last.map(|last| last.key.clone());
+            is_readable &= self.select_jobs(&mut selection, page.items).await;
+        }
+        // Jobs count against a team's limits in the order in which they were accepted.
+        let (jobs, deferred) = selection.finish();
+        if !deferred.is_empty() {
+            warn!(
+                held = jobs.len(),
+                deferred = deferred.len(),
+                bytes = deferred.bytes(),
+                "owner: the stored jobs take more memory than there is for jobs; some wait in the store."
+            );
+        }
+        self.end(RestoreStep::Decode, StepSize::items(job_count + logged));
+        Ok(StoredState {
             jobs,
             parts,
             batches,
             is_readable,
+            job_count,
+            deferred,
+        })
+    }
+
+    /// Decodes jobs for the selection; returns whether all could be decoded.
+    async fn select_jobs(&self, selection: &mut JobSelection, items: Vec<Item>) -> bool {
+        let stored = items.iter().filter(|item| !is_cancelled(item)).count();
+        let jobs = job_watch::decode_jobs(&items).await;
+        drop(items);
+        let is_readable = jobs.len() == stored;
+        for job in jobs {
+            let priority = self.scheduler.priority(&job.flow);
+            selection.add(job, priority);
         }
+        is_readable
     }
 
     /// Adds the accepted jobs to the scheduler.
--- a/wigeongate/src/entry/shared.rs
+++ b/wigeongate/src/entry/shared.rs
@@ -1,13 +1,14 @@
 //! The state that the parts of one gate share.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use tokio::sync::{Notify, watch};
 use tracing::{info, warn};
 use wigeongate_config::entry::EntrySettings;
 use wigeongate_core::time::Millis;
+use wigeongate_core::workflow::RoomShare;
 use wigeongate_platform::http::HttpClient;
 use wigeongate_platform::manifest::{Manifest, RequestLimits};
 use wigeongate_platform::store::Store;
@@ -66,6 +67,8 @@
     pub owner_yields: YieldRequests,
     /// The takeovers that were lost before the state was restored.
     pub lost_takeovers: LostTakeovers,
+    /// What the gate may accept of the owner's memory.
+    room: Mutex<RoomShare>,
     /// Counters and durations.
     pub metrics: EntryMetrics,
     /// When the last answered read of the configuration was sent, in milliseconds of `clock`.
@@ -76,6 +79,7 @@
 impl Shared {
     /// Creates the state of a gate that has no configuration and knows no owner yet.
     pub fn new(settings: EntrySettings) -> Self {
+        let room = RoomShare::new(settings.job_bytes());
         let http = HttpClient::default();
         let clock = || BootClock.now();
         let store = Store::new(http.clone(), settings.store.to_string(), clock);
@@ -90,12 +94,18 @@
             owner_refusing: Notify::new(),
             owner_yields: YieldRequests::default(),
             lost_takeovers: LostTakeovers::default(),
+            room: Mutex::new(room),
             metrics: EntryMetrics::default(),
             confirmed_ms: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         }
     }
 
+    /// Returns what the gate may accept of the owner's memory.
+    pub fn room(&self) -> MutexGuard<'_, RoomShare> {
+        self.room.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Reads the clock.
     pub fn now(&self) -> Millis {
         self.clock.now()
--- a/wigeongate/tests/entry/main.rs
+++ b/wigeongate/tests/entry/main.rs
@@ -8,6 +8,7 @@
 mod full_fleet;
 #[expect(dead_code, reason = "other tests use more of it")]
 mod gate;
+mod job_memory;
 mod large_store;
 mod limits;
 mod lost_takeovers;
