bench: time of waiting work, by occurrences, open jobs and steps

wigeongate-bench waiting measures what waiting work costs the owner: jobs that arrive, passes and ends.

--- a/wigeongate-bench/src/cli.rs
+++ b/wigeongate-bench/src/cli.rs
@@ -18,6 +18,7 @@
 use crate::soak::{SoakOptions, soak_options};
 use crate::takeover::{TakeoverOptions, takeover_options};
 use crate::wait::{WaitOptions, wait_options};
+use crate::waiting::{WaitingOptions, waiting_options};
 use crate::zone::{ZoneOptions, zone_options};
 
 /// What to measure.
@@ -75,6 +76,9 @@
     /// What a new owner of `serve` spends on restoring the state of earlier owners.
     #[bpaf(command)]
     Restore(#[bpaf(external(restore_options))] RestoreOptions),
+    /// What waiting work costs the owner of `serve` in time.
+    #[bpaf(command)]
+    Waiting(#[bpaf(external(waiting_options))] WaitingOptions),
 }
 
 /// Reads the command line; ends the process when it is wrong.
--- a/wigeongate-bench/src/main.rs
+++ b/wigeongate-bench/src/main.rs
@@ -28,6 +28,7 @@
 mod soak;
 mod takeover;
 mod wait;
+mod waiting;
 mod zone;
 
 use eyre::Result;
@@ -53,5 +54,6 @@
         Command::Takeover(options) => takeover::run(&options),
         Command::Outage(options) => outage::run(&options),
         Command::Restore(options) => restore::run(&options),
+        Command::Waiting(options) => waiting::run(&options),
     }
 }
