--- a/wigeongate-core/src/workflow.rs
+++ b/wigeongate-core/src/workflow.rs
@@ -26,6 +26,7 @@
 mod job_budget;
 mod job_counts;
 mod job_ends;
+mod job_selection;
 mod kept_records;
 mod load;
 mod log_checkpoint;
@@ -58,12 +59,13 @@
 pub use archive::{Archive, JobEnd, Move, Transfer};
 pub use crash::Crash;
 pub use crash_proofs::{CrashProof, Fate, HostBoot};
-pub use deferred_jobs::{DeferredJob, DeferredJobs, DeferredRank, JobSelection};
+pub use deferred_jobs::{DeferredJob, DeferredJobs, DeferredRank};
 pub use ended_jobs::EndedJobs;
 pub use evidence::Evidence;
 pub use freshness::StoreContact;
 pub use intake::{Intake, StoredJob, Submission};
 pub use job_budget::{JobBudget, Reservation, RoomRequest, RoomShare, job_bytes};
+pub use job_selection::JobSelection;
 pub use load::{
     FreeHosts, HORIZONS_MS, Lane, QueueLoad, ServiceLoad, WHOLE, WorkOrigin, capacity_share,
     job_work, step_work,
--- a/wigeongate-core/src/workflow/open_occurrences.rs
+++ b/wigeongate-core/src/workflow/open_occurrences.rs
@@ -3,6 +3,8 @@
 //! A placement pass tries a bounded number of steps, so that no more occurrences have to wait for
 //! hosts at a time; the others that are due follow as these start.
 
+use std::ops::RangeInclusive;
+
 use super::job::WorkflowStatus;
 use super::message::Action;
 use super::placement_pass::MAX_STEPS;
@@ -15,7 +17,7 @@
 const MAX_READY: usize = 16 * MAX_STEPS;
 
 /// Returns the steps of a job that come first and last.
-const fn step_range(job: WorkflowId) -> std::ops::RangeInclusive<StepId> {
+const fn step_range(job: WorkflowId) -> RangeInclusive<StepId> {
     let first = StepId {
         job,
         occurrence: 0,
--- a/wigeongate-core/src/workflow/restore.rs
+++ b/wigeongate-core/src/workflow/restore.rs
@@ -90,9 +90,10 @@
 }
 
 impl Record {
-    /// Returns the job that the record is about.
-    pub const fn job(&self) -> WorkflowId {
-        match self {
+    /// Returns the job that the record is about, and the occurrence unless it is about the job as a whole
+    /// or several of them.
+    const fn subject(&self) -> (WorkflowId, Option<u32>) {
+        let step = match self {
             Self::Done(task)
             | Self::Failed(task, _)
             | Self::Started(task, ..)
@@ -101,39 +102,26 @@
             | Self::Acquitted(task, _)
             | Self::Weighed(task, _)
             | Self::Released(task, _)
-            | Self::CrashProved(task, ..) => task.step.job,
-            Self::Crashed(record) | Self::CrashedOn(record, ..) => record.task.step.job,
-            Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => step.job,
+            | Self::CrashProved(task, ..) => &task.step,
+            Self::Crashed(record) | Self::CrashedOn(record, ..) => &record.task.step,
+            Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => step,
             Self::Ended(job, _)
             | Self::Begun(job)
             | Self::RunsEnded(job)
-            | Self::OccurrencesDone(job, ..) => *job,
-        }
+            | Self::OccurrencesDone(job, ..) => return (*job, None),
+        };
+        (step.job, Some(step.occurrence))
+    }
+
+    /// Returns the job that the record is about.
+    pub const fn job(&self) -> WorkflowId {
+        self.subject().0
     }
 
     /// Returns the occurrence that the record is about; `None` if it is about the job as a whole, or
     /// about several.
     pub const fn occurrence(&self) -> Option<u32> {
-        match self {
-            Self::Done(task)
-            | Self::Failed(task, _)
-            | Self::Started(task, ..)
-            | Self::StartedOn(task, ..)
-            | Self::Lost(task, _)
-            | Self::Acquitted(task, _)
-            | Self::Weighed(task, _)
-            | Self::Released(task, _)
-            | Self::CrashProved(task, ..) => Some(task.step.occurrence),
-            Self::Crashed(record) | Self::CrashedOn(record, ..) => {
-                Some(record.task.step.occurrence)
-            }
-            Self::GangDone(step) | Self::GangFailed(step, _) | Self::GangEnded(step, _) => {
-                Some(step.occurrence)
-            }
-            Self::Ended(..) | Self::Begun(_) | Self::RunsEnded(_) | Self::OccurrencesDone(..) => {
-                None
-            }
-        }
+        self.subject().1
     }
 }
 
