--- a/wigeongate-core/tests/workflow/waiting_jobs.rs
+++ b/wigeongate-core/tests/workflow/waiting_jobs.rs
@@ -293,7 +293,6 @@
 
 /// Guards against suspected jobs that wait to the end of the day in a fleet with room (LOST).
 #[test]
-#[ignore = "KNOWN-RED: retrials wait while late work does (issue 40)"]
 fn suspected_jobs_do_not_wait_in_a_fleet_with_room() {
     let waiting = waiting(SEEDS, |wait| wait.caution >= Caution::Isolated);
     assert!(waiting.is_empty(), "{waiting:?}");
@@ -302,7 +301,6 @@
 /// Guards against short jobs that wait while there is room (LOST): no gate asked for their advice,
 /// since gangs that fit nowhere took their size off the room.
 #[test]
-#[ignore = "KNOWN-RED: gangs without room claim what there is (issues 37, 40)"]
 fn short_jobs_do_not_wait_behind_gangs_without_room() {
     let mut rules = rules(3, Resources::UNBOUNDED);
     require_advice(&mut rules);
