--- a/wigeongate/src/entry/owner.rs
+++ b/wigeongate/src/entry/owner.rs
@@ -1,5 +1,6 @@
 //! The owner: feeds events to the scheduler and executes the actions that it decides on.
 
+mod job_memory;
 mod run_reports;
 
 use std::sync::Arc;
@@ -11,19 +12,17 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until};
 use tracing::{debug, info};
 use wigeongate_core::collections::{HashMap, HashSet};
-use wigeongate_core::ids::{GateId, HostId};
+use wigeongate_core::ids::HostId;
 use wigeongate_core::time::Millis;
 use wigeongate_core::workflow::{
-    Action, AdviceGates, HostEntry, Intake, JobBudget, Record, RoomRequest, StartOrder, StoredJob,
-    Submission, TaskName, WorkflowId, WorkflowScheduler, WorkflowSettings, WorkflowStatus,
-    job_bytes,
+    Action, AdviceGates, HostEntry, Intake, JobBudget, Record, StartOrder, StoredJob, Submission,
+    TaskName, WorkflowScheduler, WorkflowSettings, WorkflowStatus, job_bytes,
 };
 
 use super::advice::{AdviceCall, AdviceClient};
 use super::archive::Archiver;
 use super::callers::job_age;
 use super::checkpoint::SchedulerView;
-use super::deferred;
 use super::forecasts::Forecasts;
 use super::hosts::HostLink;
 use super::job_watch;
@@ -40,7 +39,6 @@
 use super::shared::Shared;
 use super::speeds;
 use super::stored_head::StoredHead;
-use super::stored_job::FoundJob;
 use super::turns::Turns;
 use super::waits::WaitReport;
 use crate::clock::wall_ms;
@@ -298,58 +296,6 @@
         self.shared.now().since(self.registry_read)
     }
 
-    /// Allots a gate its part of the memory for accepted jobs, or more if it wants that.
-    fn allot_room(&mut self, gate: &GateId, request: &RoomRequest) -> u64 {
-        let held = self.scheduler.held_bytes() + self.intake.deferred().bytes();
-        self.budget.allot(gate, request, held, self.shared.now())
-    }
-
-    /// Allots this gate its part of the memory for accepted jobs, and reports the budget.
-    fn renew_room(&mut self) {
-        let shared = Arc::clone(&self.shared);
-        let request = shared.room().request(0);
-        let room = self.allot_room(&shared.settings.gate, &request);
-        shared.room().install(room);
-        let metrics = &shared.metrics;
-        metrics.set_gauge("job_bytes", self.scheduler.held_bytes());
-        metrics.set_gauge("job_bytes_budget", self.budget.bytes());
-        let deferred = self.intake.deferred().len();
-        metrics.set_gauge("jobs_deferred", u64::try_from(deferred).unwrap_or(u64::MAX));
-    }
-
-    /// Reads deferred jobs from the store as far as there is memory for them.
-    fn read_deferred(&mut self) {
-        if !self.lease_current.load(Ordering::Relaxed) {
-            return;
-        }
-        let held = self.scheduler.held_bytes();
-        let left = self.shared.settings.job_bytes().saturating_sub(held);
-        let is_idle = self.scheduler.open_jobs() == 0;
-        for id in self.intake.deferred_mut().begin_reads(left, is_idle) {
-            deferred::read(&self.shared, &self.events, id);
-        }
-    }
-
-    /// Adds a deferred job that was read.
-    fn add_deferred(&mut self, id: WorkflowId, found: Result<Option<FoundJob>>) {
-        match found {
-            Ok(Some(FoundJob::Accepted(job))) if self.lease_current.load(Ordering::Relaxed) => {
-                self.add_job(*job);
-            }
-            Ok(Some(FoundJob::Accepted(_))) => self.intake.deferred_mut().fail_read(id),
-            Ok(Some(FoundJob::Ended(_)) | None) => {
-                self.intake.deferred_mut().remove(id);
-            }
-            Err(error) => {
-                info!(job = %id, error = format!("{error:#}"),
-                    "owner: a deferred job cannot be read; trying again.");
-                self.intake.deferred_mut().fail_read(id);
-                return;
-            }
-        }
-        self.read_deferred();
-    }
-
     /// Applies the configuration of this gate to the scheduler.
     fn configure(&mut self) {
         if let Some(manifest) = (**self.shared.manifest.load()).clone() {
